--- /dev/null
+++ b/features/core/table.feature
@@ -0,0 +1,41 @@
+Feature: The table of call kinds
+  Guards against an edit that is applied in part, a faulty cell that is accepted and a
+  request that is matched to the wrong row.
+
+  Scenario: A new table has the default row
+    Given a new table
+    Then the table has version 1
+    And a "GET" call of "/x" to service "tariffs" matches row "default"
+
+  Scenario: An edit with several faulty cells names each of them and changes nothing
+    Given a new table
+    When the table edit adds row "read" with cells weight=0, retries=11, colour=red
+    Then the table edit is refused naming the cells weight, retries, colour
+    And the table has version 1
+
+  Scenario: One faulty operation keeps the others from being applied
+    Given a new table
+    When the table edit adds row "read" with cells weight=5 and drops row "default"
+    Then the table edit is refused naming the cells name
+    And the table has no row "read"
+
+  Scenario Outline: The most specific row is used
+    Given a new table
+    And the table row "any-get" with cells service=*, method=GET
+    And the table row "tariffs" with cells service=tariffs
+    And the table row "tariffs-deep" with cells service=tariffs, path_prefix=/v1/deep
+    And the table row "tariffs-post" with cells service=tariffs, method=POST
+    Then a "<method>" call of "<path>" to service "<service>" matches row "<row>"
+
+    Examples:
+      | method | path         | service | row          |
+      | GET    | /v1          | tariffs | tariffs      |
+      | POST   | /v1          | tariffs | tariffs-post |
+      | POST   | /v1/deep/x   | tariffs | tariffs-deep |
+      | GET    | /            | audits  | any-get      |
+      | DELETE | /            | audits  | default      |
+
+  Scenario: A table survives the way through JSON
+    Given a new table
+    And the table row "read" with cells weight=7, repeatable=yes, size_class=long
+    Then the table read back from its JSON is equal
--- /dev/null
+++ b/features/steps/core_table_steps.py
@@ -0,0 +1,84 @@
+"""Steps for the table."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.ids import RowName
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.table import EditOperation
+from marjoramstep_core.table import RowMatcher
+from marjoramstep_core.table import Table
+from marjoramstep_core.table import apply_operations
+from marjoramstep_core.table.edit import OperationKind
+from marjoramstep_core.table.row import InvalidCellsError
+
+
+def _cells(text: str) -> dict[str, object]:
+    return dict(pair.strip().split("=", 1) for pair in text.split(","))
+
+
+def _edit(context: Any, *operations: EditOperation) -> None:
+    context.faults = []
+    try:
+        context.step_table = apply_operations(context.step_table, operations)
+    except InvalidCellsError as error:
+        context.faults = error.faults
+
+
+def _add(name: str, cells: str) -> EditOperation:
+    return EditOperation(OperationKind.ADD_ROW, RowName(name), _cells(cells))
+
+
+@given("a new table")
+def step_new_table(context: Any) -> None:
+    context.step_table = Table()
+
+
+@given('the table row "{name}" with cells {cells}')
+def step_add_row(context: Any, name: str, cells: str) -> None:
+    _edit(context, _add(name, cells))
+    assert not context.faults, context.faults
+
+
+@when('the table edit adds row "{name}" with cells {cells} and drops row "{dropped}"')
+def step_add_and_drop(context: Any, name: str, cells: str, dropped: str) -> None:
+    drop = EditOperation(OperationKind.DROP_ROW, RowName(dropped), {})
+    _edit(context, _add(name, cells), drop)
+
+
+@when('the table edit adds row "{name}" with cells {cells}')
+def step_try_add_row(context: Any, name: str, cells: str) -> None:
+    _edit(context, _add(name, cells))
+
+
+@then("the table edit is refused naming the cells {columns}")
+def step_refused(context: Any, columns: str) -> None:
+    named = {fault.column for fault in context.faults}
+    assert named == {column.strip() for column in columns.split(",")}, named
+
+
+@then("the table has version {version:d}")
+def step_version(context: Any, version: int) -> None:
+    assert context.step_table.version == version, context.step_table.version
+
+
+@then('the table has no row "{name}"')
+def step_no_row(context: Any, name: str) -> None:
+    assert RowName(name) not in context.step_table.rows
+
+
+@then('a "{method}" call of "{path}" to service "{service}" matches row "{row}"')
+def step_matches(context: Any, method: str, path: str, service: str, row: str) -> None:
+    matched = RowMatcher(context.step_table).match(ServiceName(service), method, path)
+    assert matched.name == row, matched.name
+
+
+@then("the table read back from its JSON is equal")
+def step_json(context: Any) -> None:
+    document = json.loads(json.dumps(context.step_table.to_json()))
+    assert Table.from_json(document) == context.step_table
--- /dev/null
+++ b/packages/command/src/marjoramstep_command/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command ``marjoramstep``."""
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated log: pure replication core, log and snapshot storage."""
--- /dev/null
+++ b/packages/core/src/marjoramstep_core/registry.py
@@ -0,0 +1,72 @@
+"""Registry filled by a decorator."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Generic
+from typing import TypeVar
+
+from .errors import InvalidInputError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterator
+
+T = TypeVar("T")
+
+
+class Registry(Generic[T]):
+    """Named variants of one behaviour.
+
+    :param kind: what the variants are, used in error messages
+    """
+
+    def __init__(self, kind: str) -> None:
+        self._kind = kind
+        self._entries: dict[str, T] = {}
+
+    def register(self, name: str) -> Callable[[T], T]:
+        """Return a decorator that adds its target under a name.
+
+        :param name: unique name of the variant
+        :return: a decorator that returns its target unchanged
+        :raises ValueError: if the name is taken
+        """
+
+        def add(target: T) -> T:
+            if name in self._entries:
+                raise ValueError(f"{self._kind} {name!r} is registered already")
+            self._entries[name] = target
+            return target
+
+        return add
+
+    def get(self, name: str) -> T:
+        """Return the variant of a name.
+
+        :param name: name of the variant
+        :return: the registered object
+        :raises InvalidInputError: if the name is unknown
+        """
+        try:
+            return self._entries[name]
+        except KeyError:
+            known = ", ".join(sorted(self._entries))
+            raise InvalidInputError(
+                f"unknown {self._kind} {name!r}; known are: {known}",
+                step=f"look up {self._kind}",
+            ) from None
+
+    def names(self) -> list[str]:
+        """Return all names in the order of registration.
+
+        :return: list of names
+        """
+        return list(self._entries)
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._entries
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._entries)
--- /dev/null
+++ b/packages/core/src/marjoramstep_core/table/__init__.py
@@ -0,0 +1,22 @@
+"""The table that operators edit: a row for each kind of call."""
+
+from __future__ import annotations
+
+from .edit import EditOperation
+from .edit import apply_operations
+from .matcher import RowMatcher
+from .row import Row
+from .row import SizeClassRule
+from .table import DEFAULT_ROW_NAME
+from .table import Table
+
+
+__all__ = [
+    "DEFAULT_ROW_NAME",
+    "EditOperation",
+    "Row",
+    "RowMatcher",
+    "SizeClassRule",
+    "Table",
+    "apply_operations",
+]
--- /dev/null
+++ b/packages/core/src/marjoramstep_core/table/columns.py
@@ -0,0 +1,192 @@
+"""Columns of the table: parser, bounds and description of each one."""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from ..registry import Registry
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
+METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+PATH_LIMIT_CHARACTERS = 512
+HOUR_MS = 3_600_000
+MEBIBYTE = 1024 * 1024
+
+CellValue = str | int | bool
+
+
+class CellError(ValueError):
+    """A cell's value is not valid; the text says what is expected."""
+
+
+@dataclass(frozen=True)
+class Column:
+    """One column of the table.
+
+    :param name: name of the column, with its unit as suffix
+    :param description: what the value does, for operators
+    :param default: value of a cell that an operator leaves out
+    :param parse: turns text or a JSON value into a checked cell value; raises
+        :class:`CellError`
+    """
+
+    name: str
+    description: str
+    default: CellValue
+    parse: Callable[[object], CellValue]
+
+
+COLUMNS: Registry[Column] = Registry("column")
+
+
+def _add(
+    name: str,
+    default: CellValue,
+    description: str,
+    parse: Callable[[object], CellValue],
+) -> None:
+    COLUMNS.register(name)(Column(name, description, default, parse))
+
+
+def _integer(low: int, high: int) -> Callable[[object], CellValue]:
+    def parse(value: object) -> CellValue:
+        number = _to_int(value)
+        if number is None or not low <= number <= high:
+            raise CellError(f"expected a whole number from {low} to {high}")
+        return number
+
+    return parse
+
+
+def _to_int(value: object) -> int | None:
+    if isinstance(value, bool):
+        return None
+    if isinstance(value, int):
+        return value
+    if isinstance(value, str) and re.fullmatch(r"[0-9]{1,15}", value):
+        return int(value)
+    return None
+
+
+def _choice(*choices: str) -> Callable[[object], CellValue]:
+    def parse(value: object) -> CellValue:
+        if not isinstance(value, str) or value not in choices:
+            raise CellError(f"expected one of {', '.join(choices)}")
+        return value
+
+    return parse
+
+
+def _parse_bool(value: object) -> CellValue:
+    if isinstance(value, bool):
+        return value
+    if isinstance(value, str) and value.lower() in ("true", "yes"):
+        return True
+    if isinstance(value, str) and value.lower() in ("false", "no"):
+        return False
+    raise CellError("expected true or false")
+
+
+def _parse_name(value: object) -> CellValue:
+    if not isinstance(value, str) or not NAME_PATTERN.fullmatch(value):
+        raise CellError("expected 1 to 64 letters, digits, '.', '_' or '-'")
+    return value
+
+
+def _parse_service(value: object) -> CellValue:
+    if value == "*":
+        return "*"
+    return _parse_name(value)
+
+
+def _parse_path_prefix(value: object) -> CellValue:
+    if (
+        not isinstance(value, str)
+        or not value.startswith("/")
+        or len(value) > PATH_LIMIT_CHARACTERS
+        or any(c.isspace() or not c.isprintable() for c in value)
+    ):
+        raise CellError(
+            "expected a path that starts with '/', without white space, of at most "
+            f"{PATH_LIMIT_CHARACTERS} characters"
+        )
+    return value
+
+
+_add("name", "", "Unique name of the row.", _parse_name)
+_add("service", "*", "Service that the row applies to, or *.", _parse_service)
+_add("method", "*", "HTTP method, or *.", _choice(*METHODS))
+_add("path_prefix", "/", "Start of the request's path.", _parse_path_prefix)
+_add(
+    "weight",
+    100,
+    "Importance from 1 to 1000; under overload lower weights are shed first.",
+    _integer(1, 1000),
+)
+_add(
+    "repeatable",
+    False,
+    "Whether running a request twice does no harm. If false, a request runs at most "
+    "once under a durable claim and needs a request key.",
+    _parse_bool,
+)
+_add(
+    "deadline_ms",
+    5_000,
+    "Time for the whole request; a caller may ask for less, not for more.",
+    _integer(10, HOUR_MS),
+)
+_add(
+    "concurrency_share_percent",
+    100,
+    "Largest share of a backend server's limit that this row may hold.",
+    _integer(1, 100),
+)
+_add(
+    "size_class",
+    "learn",
+    "Duration class: short, long, or learn from observed durations.",
+    _choice("short", "long", "learn"),
+)
+_add(
+    "expected_ms",
+    50,
+    "Expected service time, used until durations have been observed.",
+    _integer(1, HOUR_MS),
+)
+_add(
+    "retries",
+    2,
+    "Retries of one whole request over its call chain, resends included.",
+    _integer(0, 10),
+)
+_add(
+    "queue_length",
+    64,
+    "Largest number of requests of this row that wait at one backend server.",
+    _integer(0, 10_000),
+)
+_add(
+    "queue_wait_ms",
+    500,
+    "Longest wait in that queue.",
+    _integer(0, HOUR_MS),
+)
+_add(
+    "body_limit_bytes",
+    MEBIBYTE,
+    "Largest request body.",
+    _integer(0, 16 * 1024 * MEBIBYTE),
+)
+_add(
+    "stored_answer_limit_bytes",
+    65_536,
+    "Largest answer kept for resends of a request that may not be repeated.",
+    _integer(0, MEBIBYTE),
+)
--- /dev/null
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -0,0 +1,119 @@
+"""One row of the table."""
+
+from __future__ import annotations
+
+from dataclasses import asdict
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+from typing import TYPE_CHECKING
+
+from ..errors import InvalidInputError
+from .columns import COLUMNS
+from .columns import CellError
+from .columns import CellValue
+
+
+if TYPE_CHECKING:
+    from ..ids import RowName
+    from ..ids import ServiceName
+
+
+@unique
+class SizeClassRule(Enum):
+    """How the duration class of a row's requests is found."""
+
+    SHORT = "short"
+    LONG = "long"
+    LEARN = "learn"
+
+
+@dataclass(frozen=True)
+class CellFault:
+    """One faulty cell.
+
+    :param row: name of the row, as given
+    :param column: name of the column
+    :param value: the value found, as text
+    :param problem: what was expected
+    """
+
+    row: str
+    column: str
+    value: str
+    problem: str
+
+    def __str__(self) -> str:
+        return f"{self.row}.{self.column}: {self.problem}, found {self.value!r}"
+
+
+class InvalidCellsError(InvalidInputError):
+    """Cells of a row or an edit are not valid.
+
+    :param faults: all faulty cells
+    """
+
+    def __init__(self, faults: list[CellFault]) -> None:
+        super().__init__("; ".join(map(str, faults)), step="check cells")
+        self.faults = faults
+
+
+@dataclass(frozen=True)
+class Row:
+    """A kind of call with its weight and limits; see the columns for each field."""
+
+    name: RowName
+    service: ServiceName
+    method: str
+    path_prefix: str
+    weight: int
+    repeatable: bool
+    deadline_ms: int
+    concurrency_share_percent: int
+    size_class: SizeClassRule
+    expected_ms: int
+    retries: int
+    queue_length: int
+    queue_wait_ms: int
+    body_limit_bytes: int
+    stored_answer_limit_bytes: int
+
+    @classmethod
+    def from_cells(cls, cells: dict[str, object]) -> Row:
+        """Build a row from cells; columns left out take their defaults.
+
+        :param cells: value by column name, as text or JSON values
+        :return: the checked row
+        :raises InvalidCellsError: names every faulty cell and unknown column
+        """
+        row_name = str(cells.get("name", ""))
+        faults = [
+            CellFault(row_name, key, str(cells[key]), "no such column")
+            for key in cells
+            if key not in COLUMNS
+        ]
+        values: dict[str, CellValue] = {}
+        for column_name in COLUMNS:
+            column = COLUMNS.get(column_name)
+            raw = cells.get(column_name, column.default)
+            try:
+                values[column_name] = column.parse(raw)
+            except CellError as error:
+                faults.append(CellFault(row_name, column_name, str(raw), str(error)))
+        if faults:
+            raise InvalidCellsError(faults)
+        return cls(
+            **{  # type: ignore[arg-type]
+                **values,
+                "size_class": SizeClassRule(values["size_class"]),
+            }
+        )
+
+    def to_cells(self) -> dict[str, CellValue]:
+        """Return the row as JSON values.
+
+        :return: value by column name, in column order
+        """
+        cells = asdict(self)
+        cells["size_class"] = self.size_class.value
+        return cells
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon ``marjoramstepd``."""
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions on the request path."""
--- /dev/null
+++ b/packages/replay/src/marjoramstep_replay/__init__.py
@@ -0,0 +1,1 @@
+"""Trace replay, stand-in backend servers and measuring tools."""
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated state machine (table, claims, audit trail) and the membership registry."""
--- /dev/null
+++ b/packages/wire/src/marjoramstep_wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages and connections between the processes of marjoramstep."""
