--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/admission/__init__.py
@@ -0,0 +1,30 @@
+"""Admission control at the node of one backend server."""
+
+from __future__ import annotations
+
+from .baseline import ADMISSION_VARIANTS
+from .controller import AdmissionController
+from .messages import Admission
+from .messages import AdmissionLoad
+from .messages import AdmissionRequest
+from .messages import Decision
+from .messages import Refuse
+from .messages import Start
+from .size_class import SIZE_CLASS_VARIANTS
+from .size_class import SizeClasses
+from .size_class import SizeClassifier
+
+
+__all__ = [
+    "ADMISSION_VARIANTS",
+    "SIZE_CLASS_VARIANTS",
+    "Admission",
+    "AdmissionController",
+    "AdmissionLoad",
+    "AdmissionRequest",
+    "Decision",
+    "Refuse",
+    "SizeClasses",
+    "SizeClassifier",
+    "Start",
+]
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/admission/baseline.py
@@ -0,0 +1,154 @@
+"""Variants of admission control, to measure a baseline without a decision."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.registry import Registry
+from marjoramstep_core.states import Reason
+
+from .controller import AdmissionController
+from .controller import check_slots
+from .messages import Admission
+from .messages import AdmissionLoad
+from .messages import Decision
+from .messages import Refuse
+from .messages import Start
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+
+    from .messages import AdmissionRequest
+
+
+class AdmissionFactory(Protocol):
+    """Makes the admission control of one backend server."""
+
+    def __call__(self, clock: Clock, slots: int) -> Admission:
+        """Make it for a number of slots."""
+
+
+ADMISSION_VARIANTS: Registry[AdmissionFactory] = Registry("admission variant")
+ADMISSION_VARIANTS.register("adaptive")(AdmissionController)
+
+
+@ADMISSION_VARIANTS.register("fixed-limit")
+def make_fixed_limit(clock: Clock, slots: int) -> Admission:
+    """Make admission control with the limit at the announced slots.
+
+    :param clock: source of monotonic milliseconds
+    :param slots: announced slots, at least 1
+    :return: the admission control
+    """
+    return AdmissionController(clock, slots, adapt_limit=False)
+
+
+@ADMISSION_VARIANTS.register("unlimited-long")
+def make_unlimited_long(clock: Clock, slots: int) -> Admission:
+    """Make admission control in which long calls may hold all slots.
+
+    :param clock: source of monotonic milliseconds
+    :param slots: announced slots, at least 1
+    :return: the admission control
+    """
+    return AdmissionController(clock, slots, limit_long=False)
+
+
+@ADMISSION_VARIANTS.register("fixed")
+class FixedAdmission:
+    """First in, first out at the announced slots, without bound or deadline.
+
+    :param clock: source of monotonic milliseconds
+    :param slots: announced slots, at least 1
+    :raises InvalidInputError: if there is no slot
+    """
+
+    def __init__(self, clock: Clock, slots: int) -> None:
+        check_slots(slots)
+        self._clock = clock
+        self._slots = slots
+        self._waiting: OrderedDict[int, float] = OrderedDict()
+        self._running: set[int] = set()
+        self._queue_delay_ms = 0.0
+
+    def arrive(self, request: AdmissionRequest) -> list[Decision]:
+        """Start or queue a call.
+
+        :param request: the call
+        :return: the start, or nothing for a call that waits
+        :raises InvalidInputError: if a call of this id waits or runs
+        """
+        if request.call_id in self._running or request.call_id in self._waiting:
+            raise InvalidInputError(
+                f"call {request.call_id} waits or runs already", step="admit call"
+            )
+        self._waiting[request.call_id] = self._clock.now_ms()
+        return self.tick()
+
+    def finish(self, call_id: int, *, succeeded: bool) -> list[Decision]:
+        """Release the slot of a call in flight.
+
+        :param call_id: id of the call
+        :param succeeded: not used
+        :return: starts of calls that waited
+        :raises InvalidInputError: if no such call runs
+        """
+        if call_id not in self._running:
+            raise InvalidInputError(f"call {call_id} does not run", step="finish call")
+        self._running.discard(call_id)
+        return self.tick()
+
+    def cancel(self, call_id: int) -> list[Decision]:
+        """Refuse a call if it still waits.
+
+        :param call_id: id of the call; an unknown one is ignored
+        :return: the refusal, if the call waited
+        """
+        if self._waiting.pop(call_id, None) is None:
+            return []
+        return [Refuse(call_id, Reason.CANCELLED, 0)]
+
+    def tick(self) -> list[Decision]:
+        """Start calls that waited for a slot.
+
+        :return: their starts
+        """
+        decisions: list[Decision] = []
+        while self._waiting and len(self._running) < self._slots:
+            call_id, arrived_ms = self._waiting.popitem(last=False)
+            self._queue_delay_ms = self._clock.now_ms() - arrived_ms
+            self._running.add(call_id)
+            decisions.append(Start(call_id))
+        return decisions
+
+    def next_wakeup_ms(self) -> float | None:
+        """Return no time, because calls never expire."""
+        return None
+
+    def set_slots(self, slots: int) -> list[Decision]:
+        """Change the number of announced slots.
+
+        :param slots: new number, at least 1
+        :return: starts of calls that waited
+        :raises InvalidInputError: if there is no slot
+        """
+        check_slots(slots)
+        self._slots = slots
+        return self.tick()
+
+    def load(self) -> AdmissionLoad:
+        """Return the present load.
+
+        :return: load of this backend server, with no weight shed
+        """
+        return AdmissionLoad(
+            in_flight=len(self._running),
+            limit=self._slots,
+            queue_length=len(self._waiting),
+            queue_delay_ms=self._queue_delay_ms,
+            admitted_weight=0,
+        )
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -0,0 +1,388 @@
+"""Admission control at one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.states import Reason
+from marjoramstep_core.states import SizeClass
+
+from .limit import AdaptiveLimit
+from .limit import FixedLimit
+from .messages import AdmissionLoad
+from .messages import Decision
+from .messages import Refuse
+from .messages import Start
+from .queue import AdmissionQueue
+from .queue import QueueEntry
+from .service_times import ServiceTimes
+from .shedding import AdmittedWeight
+from .shedding import DelayMonitor
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import RowName
+
+    from .messages import AdmissionRequest
+
+# The queue of all rows together holds this many calls for each slot. A longer one would
+# only hold calls that wait longer than several service times.
+QUEUE_LENGTH_PER_SLOT = 8
+MIN_QUEUE_LENGTH = 64
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 5000
+DELAY_SMOOTHING = 0.2
+OVERLOAD_REASONS = frozenset({Reason.OVERLOAD, Reason.EVICTED, Reason.QUEUE_FULL})
+
+
+@dataclass(frozen=True, slots=True)
+class RunningCall:
+    """A call that holds a slot.
+
+    :param request: the call
+    :param started_ms: time of its start in milliseconds
+    """
+
+    request: AdmissionRequest
+    started_ms: float
+
+
+class AdmissionController:
+    """Starts, queues, refuses or evicts calls.
+
+    :param clock: source of monotonic milliseconds
+    :param slots: announced slots, at least 1
+    :param adapt_limit: whether the limit follows service times; otherwise it stays at
+        the slots
+    :param limit_long: whether long calls leave slots to short ones
+    :raises InvalidInputError: if there is no slot
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        slots: int,
+        *,
+        adapt_limit: bool = True,
+        limit_long: bool = True,
+    ) -> None:
+        check_slots(slots)
+        self._clock = clock
+        self._slots = slots
+        self._limit = AdaptiveLimit(slots) if adapt_limit else FixedLimit(slots)
+        self._limit_long = limit_long
+        self._queue = AdmissionQueue()
+        self._running: dict[int, RunningCall] = {}
+        self._running_by_row: dict[RowName, int] = {}
+        self._running_long = 0
+        self._row_limits: dict[RowName, int] = {}
+        self._service_times = ServiceTimes()
+        self._delays = DelayMonitor()
+        self._admitted = AdmittedWeight()
+        self._queue_delay_ms = 0.0
+        self._sequence = 0
+
+    def arrive(self, request: AdmissionRequest) -> list[Decision]:
+        """Start, queue or refuse a call.
+
+        :param request: the call
+        :return: decisions, also on other calls; none on a call that waits
+        :raises InvalidInputError: if a call of this id waits or runs
+        """
+        if request.call_id in self._running or request.call_id in self._queue:
+            raise InvalidInputError(
+                f"call {request.call_id} waits or runs already", step="admit call"
+            )
+        now_ms = self._clock.now_ms()
+        decisions = self._expire(now_ms)
+        self._row_limits[request.row.name] = request.row.concurrency_share_percent
+        # Calls that can start now go first, so that a free slot is never seen as taken.
+        self._dispatch(now_ms, decisions)
+        reason = self._hopeless(now_ms, request)
+        if reason is not None:
+            decisions.append(self._refuse(now_ms, request, reason))
+        elif self._has_slot(request):
+            self._start(now_ms, request, decisions)
+        else:
+            self._enqueue(now_ms, request, decisions)
+        self._watch_delay(now_ms, decisions)
+        return decisions
+
+    def finish(self, call_id: int, *, succeeded: bool) -> list[Decision]:
+        """Release the slot of a call in flight.
+
+        :param call_id: id of the call
+        :param succeeded: whether the backend server answered without an error
+        :return: decisions on calls that waited
+        :raises InvalidInputError: if no such call runs
+        """
+        call = self._running.pop(call_id, None)
+        if call is None:
+            raise InvalidInputError(f"call {call_id} does not run", step="finish call")
+        now_ms = self._clock.now_ms()
+        row = call.request.row
+        left = self._running_by_row[row.name] - 1
+        if left:
+            self._running_by_row[row.name] = left
+        else:
+            del self._running_by_row[row.name]
+        self._running_long -= call.request.size_class is SizeClass.LONG
+        duration_ms = now_ms - call.started_ms
+        # A fast failure says nothing of the service time; a slow one is a lower bound.
+        if succeeded or duration_ms > self._service_times.expected_ms(now_ms, row):
+            self._service_times.observe(now_ms, row, duration_ms)
+            if self._limit.observe(now_ms, row.name, call.started_ms):
+                self._queue.unpark()
+        self._limit.set_in_flight(now_ms, len(self._running))
+        self._queue.unpark((row.name,))
+        return self._advance(now_ms)
+
+    def cancel(self, call_id: int) -> list[Decision]:
+        """Refuse a call if it still waits; a call in flight keeps its slot.
+
+        :param call_id: id of the call; an unknown one is ignored
+        :return: the refusal, if the call waited
+        """
+        entry = self._queue.get(call_id)
+        if entry is None:
+            return []
+        self._queue.remove(entry)
+        decisions: list[Decision] = [Refuse(call_id, Reason.CANCELLED, 0)]
+        decisions += self._advance(self._clock.now_ms())
+        return decisions
+
+    def tick(self) -> list[Decision]:
+        """Apply deadlines, queue waits and dropping.
+
+        :return: decisions that fell due
+        """
+        return self._advance(self._clock.now_ms())
+
+    def next_wakeup_ms(self) -> float | None:
+        """Return the time at which ``tick`` is due.
+
+        :return: milliseconds of the clock, or ``None`` if nothing waits
+        """
+        entry = self._queue.next_expiry()
+        if entry is None:
+            return None
+        due_ms = self._delays.next_ms
+        return entry.expires_ms if due_ms is None else min(entry.expires_ms, due_ms)
+
+    def set_slots(self, slots: int) -> list[Decision]:
+        """Change the number of announced slots.
+
+        :param slots: new number, at least 1; calls in flight above it go on
+        :return: decisions on calls that waited
+        :raises InvalidInputError: if there is no slot
+        """
+        check_slots(slots)
+        self._slots = slots
+        self._limit.set_slots(slots)
+        self._queue.unpark()
+        return self._advance(self._clock.now_ms())
+
+    def load(self) -> AdmissionLoad:
+        """Return the present load.
+
+        :return: load of this backend server
+        """
+        return AdmissionLoad(
+            in_flight=len(self._running),
+            limit=self._limit.value,
+            queue_length=len(self._queue),
+            queue_delay_ms=self._queue_delay_ms if len(self._queue) else 0.0,
+            admitted_weight=self._admitted.value(self._clock.now_ms()),
+        )
+
+    def _advance(self, now_ms: float) -> list[Decision]:
+        decisions = self._expire(now_ms)
+        self._dispatch(now_ms, decisions)
+        self._watch_delay(now_ms, decisions)
+        return decisions
+
+    def _expire(self, now_ms: float) -> list[Decision]:
+        decisions: list[Decision] = []
+        entry = self._queue.next_expiry()
+        while entry is not None and entry.expires_ms <= now_ms:
+            request = entry.request
+            by_deadline = entry.expires_ms >= request.deadline_ms - entry.work_ms
+            reason = Reason.DEADLINE if by_deadline else Reason.OVERLOAD
+            self._queue.remove(entry)
+            self._admitted.note_shed(now_ms, request.weight)
+            decisions.append(self._refuse(now_ms, request, reason))
+            entry = self._queue.next_expiry()
+        return decisions
+
+    def _dispatch(self, now_ms: float, decisions: list[Decision]) -> None:
+        while len(self._queue):
+            heads = [
+                head
+                for size in SizeClass
+                if self._class_has_slot(size)
+                and (head := self._queue.first(size, self._row_has_slot)) is not None
+            ]
+            if not heads:
+                return
+            entry = min(heads, key=lambda head: head[0])[1]
+            self._queue.remove(entry)
+            request = entry.request
+            if self._misses_deadline(now_ms, request, 0.0):
+                decisions.append(self._refuse(now_ms, request, Reason.DEADLINE))
+                continue
+            waited_ms = now_ms - entry.arrived_ms
+            self._queue_delay_ms += DELAY_SMOOTHING * (waited_ms - self._queue_delay_ms)
+            self._start(now_ms, request, decisions)
+
+    def _class_has_slot(self, size: SizeClass) -> bool:
+        limit = self._limit.value
+        in_flight = len(self._running)
+        if size is SizeClass.SHORT:
+            if in_flight < limit:
+                return True
+            # Long calls that started under a higher limit must not block short ones.
+            short = in_flight - self._running_long
+            return (
+                self._limit_long
+                and in_flight < self._slots
+                and short < limit - self._long_limit(limit)
+            )
+        if not self._limit_long:
+            return in_flight < limit
+        if limit == 1:
+            return in_flight == 0 and not self._queue.class_count(SizeClass.SHORT)
+        return in_flight < limit and self._running_long < self._long_limit(limit)
+
+    @staticmethod
+    def _long_limit(limit: int) -> int:
+        return limit // 2
+
+    def _row_has_slot(self, name: RowName) -> bool:
+        share = self._row_limits.get(name, 100)
+        if share == 100:
+            return True
+        row_limit = max(1, self._limit.value * share // 100)
+        return self._running_by_row.get(name, 0) < row_limit
+
+    def _has_slot(self, request: AdmissionRequest) -> bool:
+        # Entries left in the queue after dispatch cannot start, so none is overtaken.
+        return self._class_has_slot(request.size_class) and self._row_has_slot(
+            request.row.name
+        )
+
+    def _start(
+        self, now_ms: float, request: AdmissionRequest, decisions: list[Decision]
+    ) -> None:
+        name = request.row.name
+        self._running[request.call_id] = RunningCall(request, now_ms)
+        self._running_by_row[name] = self._running_by_row.get(name, 0) + 1
+        self._running_long += request.size_class is SizeClass.LONG
+        self._limit.set_in_flight(now_ms, len(self._running))
+        self._admitted.note_start(now_ms, request.weight)
+        decisions.append(Start(request.call_id))
+
+    def _enqueue(
+        self, now_ms: float, request: AdmissionRequest, decisions: list[Decision]
+    ) -> None:
+        victim = self._make_room(request)
+        if victim is request:
+            decisions.append(self._refuse(now_ms, request, Reason.QUEUE_FULL))
+            return
+        if victim is not None:
+            decisions.append(self._refuse(now_ms, victim, Reason.EVICTED))
+        work_ms = self._service_times.expected_ms(now_ms, request.row)
+        expires_ms = min(
+            now_ms + request.row.queue_wait_ms, request.deadline_ms - work_ms
+        )
+        self._sequence += 1
+        self._queue.push(
+            QueueEntry(request, self._sequence, now_ms, expires_ms, work_ms)
+        )
+
+    def _make_room(self, request: AdmissionRequest) -> AdmissionRequest | None:
+        """Evict one call if the queue is full; the request itself if it must go."""
+        row = request.row
+        if row.queue_length == 0 or row.queue_wait_ms == 0:
+            return request
+        victim = None
+        if self._queue.row_count(row.name) >= row.queue_length:
+            victim = self._queue.victim(row.name)
+        elif len(self._queue) >= self._queue_bound():
+            victim = self._queue.victim()
+        else:
+            return None
+        if victim is None or victim.request.weight >= request.weight:
+            return request
+        self._queue.remove(victim)
+        return victim.request
+
+    def _queue_bound(self) -> int:
+        return max(MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._slots)
+
+    def _hopeless(self, now_ms: float, request: AdmissionRequest) -> Reason | None:
+        wait_ms = 0.0 if self._has_slot(request) else self._wait_ms(request)
+        if not self._misses_deadline(now_ms, request, wait_ms):
+            return None
+        if not self._misses_deadline(now_ms, request, 0.0):
+            self._admitted.note_shed(now_ms, request.weight)
+        return Reason.DEADLINE
+
+    def _misses_deadline(
+        self, now_ms: float, request: AdmissionRequest, wait_ms: float
+    ) -> bool:
+        if now_ms >= request.deadline_ms:
+            return True
+        # With no call of the row in flight, one runs to renew the estimate.
+        if wait_ms == 0.0 and request.row.name not in self._running_by_row:
+            return False
+        expected_ms = self._service_times.expected_ms(now_ms, request.row)
+        return now_ms + wait_ms + expected_ms > request.deadline_ms
+
+    def _wait_ms(self, request: AdmissionRequest) -> float:
+        limit = self._limit.value
+        size = request.size_class
+        work_ms = self._queue.work_ahead_ms(size, request.weight)
+        # The next slot is expected to free up after a share of one service time.
+        work_ms += self._service_times.expected_ms(self._clock.now_ms(), request.row)
+        if size is SizeClass.LONG and self._limit_long:
+            return work_ms / max(1, self._long_limit(limit))
+        return work_ms / max(1, limit - self._running_long)
+
+    def _refuse(
+        self, now_ms: float, request: AdmissionRequest, reason: Reason
+    ) -> Refuse:
+        if reason in OVERLOAD_REASONS:
+            self._admitted.note_shed(now_ms, request.weight)
+        wait_ms = int(self._wait_ms(request))
+        return Refuse(
+            request.call_id,
+            reason,
+            min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS),
+        )
+
+    def _watch_delay(self, now_ms: float, decisions: list[Decision]) -> None:
+        standing = self._delays.standing
+        oldest = self._queue.least_important(SizeClass.SHORT)
+        # With a free slot, only the limit of a row keeps its calls waiting.
+        if oldest is None or self._class_has_slot(SizeClass.SHORT):
+            self._delays.observe(now_ms, 0.0)
+        elif self._delays.observe(now_ms, now_ms - oldest.arrived_ms):
+            self._queue.remove(oldest)
+            decisions.append(self._refuse(now_ms, oldest.request, Reason.OVERLOAD))
+        if self._delays.standing != standing:
+            self._queue.set_newest_first(self._delays.standing)
+
+
+def check_slots(slots: int) -> None:
+    """Check a number of slots.
+
+    :param slots: number to check
+    :raises InvalidInputError: if it is below 1
+    """
+    if slots < 1:
+        raise InvalidInputError(
+            f"slots must be at least 1, found {slots}", step="set slots"
+        )
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/admission/limit.py
@@ -0,0 +1,197 @@
+"""Concurrency limit found from observed service times."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import RowName
+
+# A window closes after this many calls that started in it. With exponential service
+# times the mean of 48 has a standard error of 14%.
+MIN_WINDOW_SAMPLES = 48
+WINDOW_TURNS = 2
+# Two windows show the effect of concurrency only if it differs by at least 8%.
+MIN_CONCURRENCY_CHANGE_LOG = 0.08
+# At equal concurrency, a change by half is more than two standard errors.
+LATENCY_JUMP_LOG = math.log(1.5)
+# A knee estimated above this share of the higher concurrency counts as not reached.
+KNEE_REACHED_SHARE = 0.88
+DOWN_FACTOR = 0.8
+UP_FACTOR = 1.25
+MAX_UP_FACTOR = 2.0
+# Windows at an unchanged limit between two trials of another limit.
+HOLD_WINDOWS = 3
+SATURATED_SHARE = 0.8
+
+
+class AdaptiveLimit:
+    """Limit between 1 and the slots, at the knee of the throughput curve.
+
+    Compares windows at different concurrency. With service time ``r`` at concurrency
+    ``n``, throughput is ``n / r``. The knee is where the line through the window of
+    lower concurrency reaches the throughput of the other one. Service times are
+    compared row by row, so a changed mix of rows is not taken for a slowdown.
+
+    :param slots: announced slots
+    """
+
+    def __init__(self, slots: int) -> None:
+        self._slots = slots
+        self._limit = float(slots)
+        self._in_flight = 0
+        self._window_start_ms = 0.0
+        self._area = 0.0
+        self._changed_ms = 0.0
+        self._sums: dict[RowName, list[float]] = {}
+        self._samples = 0
+        self._previous: tuple[float, dict[RowName, list[float]]] | None = None
+        # Logarithm of the latency relative to the first window, and its lowest value.
+        self._level = 0.0
+        self._lowest_level = 0.0
+        self._up_factor = UP_FACTOR
+        self._held = 0
+        self._probe_down_next = False
+
+    @property
+    def value(self) -> int:
+        """Present limit."""
+        return max(1, min(self._slots, int(self._limit + 0.5)))
+
+    def set_slots(self, slots: int) -> None:
+        """Follow the announced slots.
+
+        :param slots: new number; a limit at the old number moves along
+        """
+        if self.value >= self._slots or self._limit > slots:
+            self._limit = float(slots)
+        self._slots = slots
+
+    def set_in_flight(self, now_ms: float, in_flight: int) -> None:
+        """Note a change of the number of calls in flight.
+
+        :param now_ms: present time in milliseconds
+        :param in_flight: new number
+        """
+        self._area += self._in_flight * (now_ms - self._changed_ms)
+        self._changed_ms = now_ms
+        self._in_flight = in_flight
+
+    def observe(self, now_ms: float, row: RowName, start_ms: float) -> bool:
+        """Note the end of a call.
+
+        :param now_ms: present time in milliseconds
+        :param row: row of the call
+        :param start_ms: time of its start in milliseconds
+        :return: whether the limit changed
+        """
+        if start_ms < self._window_start_ms:
+            return False
+        entry = self._sums.setdefault(row, [0.0, 0.0])
+        entry[0] += now_ms - start_ms
+        entry[1] += 1.0
+        self._samples += 1
+        if self._samples < max(MIN_WINDOW_SAMPLES, WINDOW_TURNS * self.value):
+            return False
+        before = self.value
+        self._close_window(now_ms)
+        return self.value != before
+
+    def _close_window(self, now_ms: float) -> None:
+        self._area += self._in_flight * (now_ms - self._changed_ms)
+        self._changed_ms = now_ms
+        duration_ms = max(now_ms - self._window_start_ms, 1e-6)
+        concurrency = max(self._area / duration_ms, 1e-3)
+        before = self.value
+        if self._previous is not None:
+            change = _latency_change_log(self._previous[1], self._sums)
+            self._level += change
+            self._lowest_level = min(self._lowest_level, self._level)
+            self._decide(self._previous[0], concurrency, change)
+        self._previous = (concurrency, self._sums)
+        self._sums = {}
+        self._samples = 0
+        self._area = 0.0
+        self._window_start_ms = now_ms
+        self._limit = min(max(self._limit, 1.0), float(self._slots))
+        self._held = self._held + 1 if self.value == before else 0
+
+    def _decide(self, previous: float, current: float, change: float) -> None:
+        moved = math.log(current / previous)
+        if abs(moved) >= MIN_CONCURRENCY_CHANGE_LOG:
+            self._move_to_knee(previous, current, change)
+        elif change > LATENCY_JUMP_LOG:
+            # If capacity was lost, the knee moved down by the factor of the latency.
+            self._limit = current * math.exp(-change)
+        elif change < -LATENCY_JUMP_LOG:
+            self._go_up(current)
+        elif current < SATURATED_SHARE * self.value:
+            self._limit = max(self._limit * UP_FACTOR, self._limit + 1.0)
+        elif self._held >= HOLD_WINDOWS:
+            self._probe(current)
+
+    def _move_to_knee(self, previous: float, current: float, change: float) -> None:
+        low, high = min(previous, current), max(previous, current)
+        latency_low_to_high = change if current > previous else -change
+        knee = high * math.exp(-latency_low_to_high)
+        if knee >= KNEE_REACHED_SHARE * high:
+            if current >= SATURATED_SHARE * self.value:
+                self._go_up(high)
+            else:
+                # Demand, not the limit, bounds concurrency: nothing shows a knee.
+                self._limit = max(self._limit, high) + 1.0
+            return
+        self._up_factor = UP_FACTOR
+        if knee <= low * (1.0 + MIN_CONCURRENCY_CHANGE_LOG):
+            self._limit = min(low * DOWN_FACTOR, low - 1.0)
+        else:
+            self._limit = knee
+
+    def _go_up(self, start: float) -> None:
+        self._limit = max(start * self._up_factor, start + 1.0)
+        self._up_factor = min(self._up_factor * UP_FACTOR, MAX_UP_FACTOR)
+
+    def _probe(self, current: float) -> None:
+        raised = self._level > self._lowest_level + LATENCY_JUMP_LOG / 2
+        down = raised and (self._probe_down_next or self.value >= self._slots)
+        self._probe_down_next = not self._probe_down_next
+        if down:
+            self._limit = min(current * DOWN_FACTOR, current - 1.0)
+            # A level that stays raised becomes the normal one, or probing would go on.
+            self._lowest_level += (self._level - self._lowest_level) / 4
+        elif self.value < self._slots:
+            self._up_factor = UP_FACTOR
+            self._go_up(current)
+
+
+class FixedLimit(AdaptiveLimit):
+    """Limit that stays at the announced slots."""
+
+    def observe(self, now_ms: float, row: RowName, start_ms: float) -> bool:
+        """Ignore the end of a call.
+
+        :param now_ms: present time in milliseconds
+        :param row: row of the call
+        :param start_ms: time of its start in milliseconds
+        :return: false
+        """
+        return False
+
+
+def _latency_change_log(
+    previous: dict[RowName, list[float]], current: dict[RowName, list[float]]
+) -> float:
+    total = 0.0
+    weight = 0.0
+    for row, (sum_ms, count) in current.items():
+        if row not in previous:
+            continue
+        previous_sum_ms, previous_count = previous[row]
+        mean_ms = max(sum_ms / count, 1e-3)
+        previous_mean_ms = max(previous_sum_ms / previous_count, 1e-3)
+        shared = min(count, previous_count)
+        total += shared * math.log(mean_ms / previous_mean_ms)
+        weight += shared
+    return total / weight if weight else 0.0
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/admission/messages.py
@@ -0,0 +1,105 @@
+"""Requests to admission control and its decisions."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+from typing import Protocol
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.states import Reason
+    from marjoramstep_core.states import SizeClass
+    from marjoramstep_core.table import Row
+
+
+@dataclass(frozen=True)
+class AdmissionRequest:
+    """One call that asks to run at this backend server.
+
+    :param call_id: unique among the calls that have not finished
+    :param row: row of the table that the call matches
+    :param weight: weight of the root request
+    :param depth: 0 for a root request
+    :param deadline_ms: absolute, on the clock of the controller
+    :param size_class: expected duration class
+    """
+
+    call_id: int
+    row: Row
+    weight: int
+    depth: int
+    deadline_ms: float
+    size_class: SizeClass
+
+
+@dataclass(frozen=True)
+class Start:
+    """The call runs now and holds a slot until it finishes."""
+
+    call_id: int
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """The call has not run here and will not.
+
+    :param call_id: id of the call
+    :param reason: why it is refused
+    :param retry_after_ms: estimated time until a similar call may be admitted
+    """
+
+    call_id: int
+    reason: Reason
+    retry_after_ms: int
+
+
+Decision = Start | Refuse
+
+
+@dataclass(frozen=True)
+class AdmissionLoad:
+    """Load of one backend server as its node sees it.
+
+    :param in_flight: calls that hold a slot
+    :param limit: present concurrency limit
+    :param queue_length: calls that wait
+    :param queue_delay_ms: smoothed wait of calls at their start
+    :param admitted_weight: lowest weight that is admitted; 0 when nothing is shed
+    """
+
+    in_flight: int
+    limit: int
+    queue_length: int
+    queue_delay_ms: float
+    admitted_weight: int
+
+
+class Admission(Protocol):
+    """Decides for each call whether and when it runs.
+
+    ``arrive`` returns no decision for a call that waits; its decision is returned by a
+    later call of any method. A call that is in flight holds its slot until ``finish``,
+    also after ``cancel``.
+    """
+
+    def arrive(self, request: AdmissionRequest) -> list[Decision]:
+        """Start, queue or refuse a call."""
+
+    def finish(self, call_id: int, *, succeeded: bool) -> list[Decision]:
+        """Release the slot of a call in flight."""
+
+    def cancel(self, call_id: int) -> list[Decision]:
+        """Refuse a call if it still waits."""
+
+    def tick(self) -> list[Decision]:
+        """Apply deadlines, queue waits and dropping."""
+
+    def next_wakeup_ms(self) -> float | None:
+        """Return the time at which ``tick`` is due."""
+
+    def set_slots(self, slots: int) -> list[Decision]:
+        """Change the number of announced slots."""
+
+    def load(self) -> AdmissionLoad:
+        """Return the present load."""
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/admission/queue.py
@@ -0,0 +1,365 @@
+"""Bounded queue ordered by weight, then sub-call before root, then deadline."""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass
+from itertools import count
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.states import SizeClass
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from collections.abc import Iterable
+
+    from marjoramstep_core.ids import RowName
+
+    from .messages import AdmissionRequest
+
+Key = tuple[float, ...]
+MAX_WEIGHT = 1000
+# Removed entries stay in a heap until they reach its top or outnumber the rest.
+COMPACTION_SLACK = 64
+
+
+@dataclass(slots=True, eq=False)
+class QueueEntry:
+    """A call that waits.
+
+    :param request: the call
+    :param sequence: rises with each arrival
+    :param arrived_ms: time of arrival in milliseconds
+    :param expires_ms: latest time of start in milliseconds
+    :param work_ms: expected service time in milliseconds
+    :param queued: false once the entry has left the queue
+    """
+
+    request: AdmissionRequest
+    sequence: int
+    arrived_ms: float
+    expires_ms: float
+    work_ms: float
+    queued: bool = True
+
+
+def deadline_order(entry: QueueEntry) -> Key:
+    """Order by weight, sub-call before root, then earliest deadline."""
+    request = entry.request
+    return (-request.weight, request.depth == 0, request.deadline_ms, entry.sequence)
+
+
+def newest_order(entry: QueueEntry) -> Key:
+    """Order by weight, sub-call before root, then newest arrival."""
+    request = entry.request
+    return (-request.weight, request.depth == 0, -entry.sequence)
+
+
+def victim_order(entry: QueueEntry) -> Key:
+    """Order by lowest weight, root before sub-call, then oldest arrival."""
+    request = entry.request
+    return (request.weight, request.depth > 0, entry.sequence)
+
+
+def expiry_order(entry: QueueEntry) -> Key:
+    """Order by the latest time of start."""
+    return (entry.expires_ms, entry.sequence)
+
+
+class EntryHeap:
+    """Heap of entries that drops entries lazily after they left the queue.
+
+    :param order: sort key; the lowest one comes first, and no two are equal
+    """
+
+    def __init__(self, order: Callable[[QueueEntry], Key]) -> None:
+        self._order = order
+        self._items: list[tuple[Key, QueueEntry]] = []
+        self._removed = 0
+
+    def push(self, entry: QueueEntry) -> None:
+        """Add an entry.
+
+        :param entry: the entry to add
+        """
+        heapq.heappush(self._items, (self._order(entry), entry))
+
+    def peek(self) -> tuple[Key, QueueEntry] | None:
+        """Return the first entry that still waits.
+
+        :return: its key and the entry, or ``None``
+        """
+        items = self._items
+        while items and not items[0][1].queued:
+            heapq.heappop(items)
+            self._removed -= 1
+        return items[0] if items else None
+
+    def note_removed(self) -> None:
+        """Count an entry whose ``queued`` became false."""
+        self._removed += 1
+        if self._removed * 2 > len(self._items) + COMPACTION_SLACK:
+            self.reorder(self._order)
+
+    def reorder(self, order: Callable[[QueueEntry], Key]) -> None:
+        """Sort all entries anew.
+
+        :param order: the new sort key
+        """
+        self._order = order
+        self._items = [(order(e), e) for _, e in self._items if e.queued]
+        heapq.heapify(self._items)
+        self._removed = 0
+
+
+class WeightSums:
+    """Fenwick tree of expected work by weight."""
+
+    def __init__(self) -> None:
+        self._sums = [0.0] * (MAX_WEIGHT + 1)
+
+    def add(self, weight: int, work_ms: float) -> None:
+        """Add work.
+
+        :param weight: from 1 to 1000
+        :param work_ms: milliseconds, negative to take away
+        """
+        index = MAX_WEIGHT + 1 - weight
+        while index <= MAX_WEIGHT:
+            self._sums[index] += work_ms
+            index += index & -index
+
+    def at_least(self, weight: int) -> float:
+        """Return the work of a weight and all higher ones.
+
+        :param weight: from 1 to 1001
+        :return: milliseconds
+        """
+        index = MAX_WEIGHT + 1 - weight
+        total = 0.0
+        while index > 0:
+            total += self._sums[index]
+            index -= index & -index
+        return max(total, 0.0)
+
+
+class Lane:
+    """Entries of one row and size class.
+
+    :param row: name of the row
+    :param order: sort key of the entries
+    """
+
+    def __init__(self, row: RowName, order: Callable[[QueueEntry], Key]) -> None:
+        self.row = row
+        self.heap = EntryHeap(order)
+        self.parked = False
+        self.offered: Key | None = None
+
+
+class AdmissionQueue:
+    """All calls that wait, with the first and the least important in O(log n)."""
+
+    def __init__(self) -> None:
+        self._order: Callable[[QueueEntry], Key] = deadline_order
+        self._pushes = count()
+        self._entries: dict[int, QueueEntry] = {}
+        self._lanes: dict[tuple[RowName, SizeClass], Lane] = {}
+        self._ready: dict[SizeClass, list[tuple[Key, int, Lane]]] = {
+            size: [] for size in SizeClass
+        }
+        self._victims = {size: EntryHeap(victim_order) for size in SizeClass}
+        self._row_victims: dict[RowName, EntryHeap] = {}
+        self._expiry = EntryHeap(expiry_order)
+        self._row_counts: dict[RowName, int] = {}
+        self._class_counts = dict.fromkeys(SizeClass, 0)
+        self._work = {size: WeightSums() for size in SizeClass}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, call_id: object) -> bool:
+        return call_id in self._entries
+
+    def get(self, call_id: int) -> QueueEntry | None:
+        """Return the entry of a call.
+
+        :param call_id: id of the call
+        :return: the entry, or ``None`` if the call does not wait
+        """
+        return self._entries.get(call_id)
+
+    def row_count(self, row: RowName) -> int:
+        """Return the number of entries of a row.
+
+        :param row: name of the row
+        :return: number of entries
+        """
+        return self._row_counts.get(row, 0)
+
+    def class_count(self, size: SizeClass) -> int:
+        """Return the number of entries of a size class.
+
+        :param size: the size class
+        :return: number of entries
+        """
+        return self._class_counts[size]
+
+    def work_ahead_ms(self, size: SizeClass, weight: int) -> float:
+        """Return the expected work that starts before a new arrival.
+
+        :param size: size class of the arrival
+        :param weight: weight of the arrival
+        :return: sum of expected service times in milliseconds
+        """
+        lowest = weight if self._order is deadline_order else weight + 1
+        return self._work[size].at_least(lowest)
+
+    def push(self, entry: QueueEntry) -> None:
+        """Add an entry.
+
+        :param entry: the entry to add
+        """
+        request = entry.request
+        row, size = request.row.name, request.size_class
+        lane = self._lanes.get((row, size))
+        if lane is None:
+            lane = self._lanes[(row, size)] = Lane(row, self._order)
+        self._entries[request.call_id] = entry
+        lane.heap.push(entry)
+        self._offer(lane, size)
+        self._victims[size].push(entry)
+        if row not in self._row_victims:
+            self._row_victims[row] = EntryHeap(victim_order)
+        self._row_victims[row].push(entry)
+        self._expiry.push(entry)
+        self._row_counts[row] = self._row_counts.get(row, 0) + 1
+        self._class_counts[size] += 1
+        self._work[size].add(request.weight, entry.work_ms)
+
+    def remove(self, entry: QueueEntry) -> None:
+        """Take an entry out.
+
+        :param entry: an entry that waits
+        """
+        request = entry.request
+        row, size = request.row.name, request.size_class
+        entry.queued = False
+        del self._entries[request.call_id]
+        self._row_counts[row] -= 1
+        self._class_counts[size] -= 1
+        self._work[size].add(request.weight, -entry.work_ms)
+        lane = self._lanes[(row, size)]
+        for heap in (
+            lane.heap,
+            self._victims[size],
+            self._row_victims[row],
+            self._expiry,
+        ):
+            heap.note_removed()
+        if self._row_counts[row] == 0:
+            self._forget_row(row)
+        else:
+            self._offer(lane, size)
+
+    def first(
+        self, size: SizeClass, may_start: Callable[[RowName], bool]
+    ) -> tuple[Key, QueueEntry] | None:
+        """Return the entry of a size class that starts next.
+
+        :param size: the size class
+        :param may_start: whether a row may start another call; a row that may not is
+            left out until :meth:`unpark`
+        :return: its key and the entry, or ``None``
+        """
+        ready = self._ready[size]
+        while ready:
+            key, _, lane = ready[0]
+            head = lane.heap.peek()
+            if not lane.parked and head is not None and head[0] == key:
+                if may_start(lane.row):
+                    return head
+                lane.parked = True
+            heapq.heappop(ready)
+            if lane.offered == key:
+                lane.offered = None
+        return None
+
+    def unpark(self, rows: Iterable[RowName] | None = None) -> None:
+        """Consider rows again that could not start a call.
+
+        :param rows: names of rows; all rows if left out
+        """
+        for row in {key[0] for key in self._lanes} if rows is None else rows:
+            for size in SizeClass:
+                lane = self._lanes.get((row, size))
+                if lane is not None and lane.parked:
+                    lane.parked = False
+                    self._offer(lane, size)
+
+    def least_important(self, size: SizeClass) -> QueueEntry | None:
+        """Return the oldest entry of the lowest weight of a size class.
+
+        :param size: the size class
+        :return: the entry, or ``None`` if none waits
+        """
+        head = self._victims[size].peek()
+        return head[1] if head else None
+
+    def victim(self, row: RowName | None = None) -> QueueEntry | None:
+        """Return the entry to evict first.
+
+        :param row: name of the row to choose from; all rows if left out
+        :return: the entry, or ``None`` if none waits
+        """
+        if row is not None:
+            heap = self._row_victims.get(row)
+            head = heap.peek() if heap else None
+        else:
+            heads = [heap.peek() for heap in self._victims.values()]
+            head = min((h for h in heads if h), default=None, key=lambda h: h[0])
+        return head[1] if head else None
+
+    def next_expiry(self) -> QueueEntry | None:
+        """Return the entry that expires first.
+
+        :return: the entry, or ``None`` if none waits
+        """
+        head = self._expiry.peek()
+        return head[1] if head else None
+
+    def set_newest_first(self, newest_first: bool) -> None:
+        """Choose the order of entries of equal weight and kind.
+
+        :param newest_first: newest arrival first, or else earliest deadline first
+        """
+        self._order = newest_order if newest_first else deadline_order
+        for ready in self._ready.values():
+            ready.clear()
+        for (_, size), lane in self._lanes.items():
+            lane.heap.reorder(self._order)
+            lane.parked = False
+            lane.offered = None
+            self._offer(lane, size)
+
+    def _offer(self, lane: Lane, size: SizeClass) -> None:
+        head = lane.heap.peek()
+        if lane.parked or head is None or head[0] == lane.offered:
+            return
+        ready = self._ready[size]
+        if len(ready) > 2 * len(self._lanes) + COMPACTION_SLACK:
+            ready[:] = [item for item in ready if item[0] == item[2].offered]
+            heapq.heapify(ready)
+        lane.offered = head[0]
+        heapq.heappush(ready, (head[0], next(self._pushes), lane))
+
+    def _forget_row(self, row: RowName) -> None:
+        del self._row_counts[row]
+        del self._row_victims[row]
+        for size in SizeClass:
+            lane = self._lanes.pop((row, size), None)
+            if lane is not None:
+                # Items of this lane in the ready heap are then passed over.
+                lane.parked = True
+                lane.offered = None
