--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/quarantine/crash_tracker.py
@@ -0,0 +1,119 @@
+"""Finds the requests that were in flight when a backend server crashed."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import InvalidInputError
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import Fingerprint
+    from marjoramstep_core.ids import ServerId
+    from marjoramstep_core.ids import ServiceName
+
+# Crashes whose reports are remembered, so that late signs of them add nothing.
+REMEMBERED_INCARNATIONS = 8
+
+
+@dataclass(frozen=True)
+class CrashReport:
+    """One suspect fingerprint of one crash, to be sent to the replicas.
+
+    :param service: service of the backend server
+    :param fingerprint: the suspect
+    :param report_id: the same for each report of one crash, also when it is resent or
+        the node has restarted; the replicas count distinct ids for each fingerprint
+    """
+
+    service: ServiceName
+    fingerprint: Fingerprint
+    report_id: str
+
+
+@dataclass(frozen=True)
+class CrashSuspects:
+    """Result of a crash.
+
+    :param call_ids: calls in flight at the crash, which must not be retried
+    :param reports: reports that were not made before
+    """
+
+    call_ids: frozenset[int]
+    reports: tuple[CrashReport, ...]
+
+
+class CrashTracker:
+    """Calls in flight at the backend server of one node.
+
+    A process crashes at most once in one incarnation. The report id is therefore made
+    of server id and incarnation, however many connections broke or were refused.
+
+    :param server_id: the backend server, unique over all nodes
+    :param service: its service
+    """
+
+    def __init__(self, server_id: ServerId, service: ServiceName) -> None:
+        self._server_id = server_id
+        self._service = service
+        self._calls: dict[int, tuple[int, Fingerprint]] = {}
+        self._reported: dict[int, set[Fingerprint]] = {}
+
+    def started(self, call_id: int, incarnation: int, fingerprint: Fingerprint) -> None:
+        """Note that a call was sent to the backend server.
+
+        :param call_id: id of the call at this node
+        :param incarnation: incarnation of the backend server that runs it
+        :param fingerprint: fingerprint of the request
+        :raises InvalidInputError: if the call id is in flight already
+        """
+        if call_id in self._calls:
+            raise InvalidInputError(
+                f"call {call_id} is in flight already",
+                step="track call",
+                peer=self._server_id,
+            )
+        self._calls[call_id] = (incarnation, fingerprint)
+
+    def finished(self, call_id: int) -> None:
+        """Note that a call ended or was given up; unknown ids are ignored.
+
+        :param call_id: id of the call at this node
+        """
+        self._calls.pop(call_id, None)
+
+    def in_flight(self) -> int:
+        """Return the number of calls in flight.
+
+        :return: number of calls
+        """
+        return len(self._calls)
+
+    def crashed(self, incarnation: int) -> CrashSuspects:
+        """Note that the backend server closed or refused connections.
+
+        May be called for each broken connection of one crash. To be called before
+        ``finished`` for the calls that the crash ended.
+
+        :param incarnation: the incarnation that crashed
+        :return: the calls in flight in that incarnation, and reports not made before
+        """
+        suspects = {
+            call_id: fingerprint
+            for call_id, (started_in, fingerprint) in self._calls.items()
+            if started_in == incarnation
+        }
+        reported = self._reported.setdefault(incarnation, set())
+        fresh = sorted(set(suspects.values()) - reported)
+        reported.update(fresh)
+        while len(self._reported) > REMEMBERED_INCARNATIONS:
+            del self._reported[min(self._reported)]
+        report_id = f"{self._server_id}/{incarnation}"
+        return CrashSuspects(
+            frozenset(suspects),
+            tuple(
+                CrashReport(self._service, fingerprint, report_id)
+                for fingerprint in fresh
+            ),
+        )
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/retries/resend_ledger.py
@@ -0,0 +1,129 @@
+"""Resends by the caller under one key, counted against the row's retries."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.registry import Registry
+
+from .allowance import ALLOWANCES
+from .allowance import RetryAllowance
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import RequestKey
+
+MAX_KEYS = 50_000
+
+RESEND_LEDGERS: Registry[type[ResendLedger]] = Registry("resend ledger")
+
+
+@dataclass(frozen=True)
+class ResendVerdict:
+    """What may be done with an arrival.
+
+    :param allowed: whether it may run; otherwise refuse with ``retries-exhausted``
+    :param is_resend: whether the key was known
+    :param allowance: tokens of the key, shared by all its attempts at this node
+    """
+
+    allowed: bool
+    is_resend: bool
+    allowance: RetryAllowance
+
+
+@dataclass
+class _Entry:
+    allowance: RetryAllowance
+    expires_ms: float
+
+
+@RESEND_LEDGERS.register("counted")
+class ResendLedger:
+    """Keeps the allowance of each key; a resend costs a token like any retry.
+
+    The lifetime starts again with each arrival, so a caller that keeps resending gets
+    no new allowance. The number of keys is bounded; the key that arrived least recently
+    is evicted. Eviction, like expiry, closes the key's allowance: an attempt still in
+    flight can't retry at this hop any more, and the next arrival of the key counts as
+    a first one with a fresh allowance. Each eviction therefore adds at most one first
+    attempt and one fresh allowance, never more, to what its calls in flight below this
+    node already hold. For rows that may not be repeated, the claim covers this.
+
+    :param clock: source of monotonic milliseconds
+    :param max_keys: bound on the keys remembered
+    :param allowance: name of the variant of ``ALLOWANCES``
+    :raises InvalidInputError: if the bound is below 1 or the variant is unknown
+    """
+
+    def __init__(
+        self, clock: Clock, max_keys: int = MAX_KEYS, allowance: str = "tokens"
+    ) -> None:
+        if max_keys < 1:
+            raise InvalidInputError(
+                f"max_keys must be at least 1, got {max_keys}", step="make ledger"
+            )
+        self._clock = clock
+        self._max_keys = max_keys
+        self._allowance_type = ALLOWANCES.get(allowance)
+        self._entries: OrderedDict[RequestKey, _Entry] = OrderedDict()
+
+    def arrive(
+        self, key: RequestKey, retries: int, lifetime_ms: float
+    ) -> ResendVerdict:
+        """Count an arrival of a request.
+
+        :param key: the caller's key
+        :param retries: the row's retries, used when the key is new
+        :param lifetime_ms: how long the key is remembered after this arrival, longer
+            than the longest deadline
+        :return: the verdict, with the key's allowance
+        :raises InvalidInputError: if retries or lifetime are negative
+        """
+        if lifetime_ms < 0:
+            raise InvalidInputError(
+                f"lifetime_ms must not be negative, got {lifetime_ms}",
+                step="count resend",
+            )
+        now_ms = self._clock.now_ms()
+        entry = self._entries.get(key)
+        if entry is not None and entry.expires_ms > now_ms:
+            entry.expires_ms = now_ms + lifetime_ms
+            self._entries.move_to_end(key)
+            return ResendVerdict(entry.allowance.take(), True, entry.allowance)
+        allowance = self._allowance_type(retries)
+        if entry is not None:
+            entry.allowance.close()
+        self._entries[key] = _Entry(allowance, now_ms + lifetime_ms)
+        self._entries.move_to_end(key)
+        self._evict(now_ms)
+        return ResendVerdict(True, False, allowance)
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def _evict(self, now_ms: float) -> None:
+        while self._entries:
+            oldest = next(iter(self._entries.values()))
+            is_over = len(self._entries) > self._max_keys
+            if not is_over and oldest.expires_ms > now_ms:
+                return
+            self._entries.popitem(last=False)[1].allowance.close()
+
+
+@RESEND_LEDGERS.register("uncounted")
+class UncountedResendLedger(ResendLedger):
+    """Baseline: each resend is a first attempt with a full allowance."""
+
+    def arrive(
+        self, key: RequestKey, retries: int, lifetime_ms: float
+    ) -> ResendVerdict:
+        """Allow the arrival without remembering it.
+
+        :return: a verdict with a fresh allowance
+        """
+        return ResendVerdict(True, False, self._allowance_type(retries))
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/retries/service_budget.py
@@ -0,0 +1,136 @@
+"""Retries to one service as a share of first attempts."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.registry import Registry
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import ServiceName
+
+WINDOW_MS = 10_000.0
+BUCKETS = 20
+BUCKET_MS = WINDOW_MS / BUCKETS
+RETRY_SHARE = 0.1
+# Lets a service with little traffic retry at all.
+RETRY_FLOOR = 3
+MAX_SERVICES = 1024
+
+SERVICE_BUDGETS: Registry[type[ServiceRetryBudget]] = Registry("service retry budget")
+
+
+class _Window:
+    """First attempts and retries in a ring of buckets.
+
+    The ring has one bucket more than the window. Retries are counted over the whole
+    ring, first attempts without its oldest bucket, so that the bound holds for each
+    exact window and not only on average.
+    """
+
+    __slots__ = ("firsts", "last_tick", "retries")
+
+    def __init__(self, tick: int) -> None:
+        self.firsts = [0] * (BUCKETS + 1)
+        self.retries = [0] * (BUCKETS + 1)
+        self.last_tick = tick
+
+    def advance(self, tick: int) -> int:
+        """Clear the buckets that time has passed and return the current index."""
+        for passed in range(
+            max(self.last_tick, tick - BUCKETS - 1) + 1,
+            tick + 1,
+        ):
+            self.firsts[passed % (BUCKETS + 1)] = 0
+            self.retries[passed % (BUCKETS + 1)] = 0
+        self.last_tick = tick
+        return tick % (BUCKETS + 1)
+
+
+@SERVICE_BUDGETS.register("share")
+class ServiceRetryBudget:
+    """Holds retries to a service under 10% of first attempts in 10 s, at least 3.
+
+    A service that was idle for a whole window is forgotten. Beyond ``MAX_SERVICES``
+    busy services, further ones get no retries; first attempts are never held back.
+
+    :param clock: source of monotonic milliseconds
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._windows: dict[ServiceName, _Window] = {}
+
+    def record_first(self, service: ServiceName) -> None:
+        """Count a first attempt.
+
+        :param service: the service called
+        """
+        tick = self._tick()
+        window = self._window(service, tick)
+        if window is not None:
+            window.firsts[window.advance(tick)] += 1
+
+    def try_spend(self, service: ServiceName) -> bool:
+        """Count a retry if the budget allows it.
+
+        :param service: the service called
+        :return: whether the retry may be made
+        """
+        tick = self._tick()
+        window = self._window(service, tick)
+        if window is None:
+            return False
+        index = window.advance(tick)
+        oldest = (index + 1) % (BUCKETS + 1)
+        firsts = sum(window.firsts) - window.firsts[oldest]
+        if sum(window.retries) + 1 > max(RETRY_FLOOR, RETRY_SHARE * firsts):
+            return False
+        window.retries[index] += 1
+        return True
+
+    def tracked_services(self) -> int:
+        """Return how many services have a window.
+
+        :return: number of services, at most ``MAX_SERVICES``
+        """
+        return len(self._windows)
+
+    def _tick(self) -> int:
+        return int(self._clock.now_ms() // BUCKET_MS)
+
+    def _window(self, service: ServiceName, tick: int) -> _Window | None:
+        window = self._windows.get(service)
+        if window is None:
+            if len(self._windows) >= MAX_SERVICES:
+                self._forget_idle(tick)
+            if len(self._windows) >= MAX_SERVICES:
+                return None
+            window = self._windows[service] = _Window(tick)
+        return window
+
+    def _forget_idle(self, tick: int) -> None:
+        idle = [
+            service
+            for service, window in self._windows.items()
+            if tick - window.last_tick > BUCKETS
+        ]
+        for service in idle:
+            del self._windows[service]
+
+
+@SERVICE_BUDGETS.register("unlimited")
+class UnlimitedServiceBudget(ServiceRetryBudget):
+    """Baseline: every retry is allowed."""
+
+    def record_first(self, service: ServiceName) -> None:
+        """Count nothing."""
+
+    def try_spend(self, service: ServiceName) -> bool:
+        """Allow the retry.
+
+        :return: always true
+        """
+        return True
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/routing/__init__.py
@@ -0,0 +1,20 @@
+"""Choice of the backend server for a call."""
+
+from __future__ import annotations
+
+from .members import CallResult
+from .members import RouteLoad
+from .members import RouteMember
+from .router import ROUTERS
+from .router import Router
+from .router import UniformRouter
+
+
+__all__ = [
+    "ROUTERS",
+    "CallResult",
+    "RouteLoad",
+    "RouteMember",
+    "Router",
+    "UniformRouter",
+]
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -0,0 +1,356 @@
+"""Power of two choices among the members of a service."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.registry import Registry
+from marjoramstep_core.states import ServerState
+from marjoramstep_core.states import SizeClass
+
+from .members import CallResult
+from .server_state import FAILURES_TO_SUSPEND
+from .server_state import NEW_RAMP_MS
+from .server_state import START_TOLERANCE_MS
+from .server_state import ServerRecord
+from .server_state import slow_limit_ms
+from .service_group import ServiceGroup
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import ServerId
+    from marjoramstep_core.ids import ServiceName
+    from marjoramstep_core.ids import ZoneName
+
+    from .members import RouteLoad
+    from .members import RouteMember
+
+# The own zone is left when its score is above this multiple of the best remote one.
+REMOTE_ZONE_FACTOR = 2.0
+# Pairs drawn until one holds a server whose share admits the call.
+MAX_DRAWS = 3
+# Probe intervals are spread by this share in both directions.
+PROBE_JITTER = 0.25
+
+ROUTERS: Registry[type[Router]] = Registry("router")
+
+
+@ROUTERS.register("two-choices")
+class Router:
+    """Picks a backend server for each call.
+
+    State is kept for the members given last and dropped with them. To be used by one
+    task; ``pick`` and ``started`` are called without a wait between them.
+
+    :param clock: source of monotonic milliseconds
+    :param rng: random generator
+    :param own_zone: availability zone of this node
+    """
+
+    def __init__(self, clock: Clock, rng: Random, own_zone: ZoneName) -> None:
+        self._clock = clock
+        self._rng = rng
+        self._own_zone = own_zone
+        self._groups: dict[ServiceName, ServiceGroup] = {}
+        self._group_of: dict[ServerId, ServiceGroup] = {}
+
+    def update_members(
+        self, service: ServiceName, members: Sequence[RouteMember]
+    ) -> None:
+        """Replace the members of a service.
+
+        Members of the first call are taken as warm, because a node that starts can't
+        tell; a server that becomes ready or restarts later ramps up over 10 s.
+
+        :param service: name of the service
+        :param members: all its members
+        """
+        now_ms = self._clock.now_ms()
+        group = self._groups.get(service)
+        is_first = group is None
+        if group is None:
+            group = self._groups[service] = ServiceGroup(self._own_zone)
+        previous = group.records
+        group.records = {}
+        for member in members:
+            if member.state is ServerState.GONE:
+                continue
+            record = previous.get(member.server_id)
+            if record is None or _is_fresh_start(record.member, member):
+                ramp_ms = 0.0 if is_first else NEW_RAMP_MS
+                record = ServerRecord(member, now_ms, ramp_ms)
+            record.member = member
+            group.records[member.server_id] = record
+            self._group_of[member.server_id] = group
+        for server_id in previous.keys() - group.records.keys():
+            if self._group_of.get(server_id) is group:
+                del self._group_of[server_id]
+        if not group.records:
+            del self._groups[service]
+        group.refresh(now_ms)
+
+    def pick(
+        self, service: ServiceName, excluded: frozenset[ServerId]
+    ) -> RouteMember | None:
+        """Choose a backend server.
+
+        :param service: name of the service
+        :param excluded: servers that must not be chosen, such as those tried before
+        :return: a ready member, or ``None`` if none is left
+        """
+        group = self._groups.get(service)
+        if group is None:
+            return None
+        now_ms = self._clock.now_ms()
+        if now_ms >= group.next_refresh_ms:
+            group.refresh(now_ms)
+        # A retry is not used as a probe: it has failed once already.
+        if group.suspended and not excluded:
+            probed = self._due_probe(group, now_ms)
+            if probed is not None:
+                return probed.member
+        chosen = self._choose(group, excluded, now_ms)
+        if chosen is not None and self._suspend_if_overdue(group, chosen, now_ms):
+            chosen = self._choose(group, excluded, now_ms)
+        return None if chosen is None else chosen.member
+
+    def started(
+        self, server_id: ServerId, size_class: SizeClass = SizeClass.SHORT
+    ) -> None:
+        """Note that a call was sent.
+
+        :param server_id: the server picked
+        :param size_class: class of the call; long calls count as in flight, but say
+            nothing about the latency
+        """
+        record = self._record(server_id)
+        if record is None:
+            return
+        record.in_flight += 1
+        if size_class is SizeClass.SHORT:
+            record.add_start(self._clock.now_ms())
+
+    def finished(
+        self,
+        server_id: ServerId,
+        latency_ms: float,
+        result: CallResult,
+        load: RouteLoad | None,
+        size_class: SizeClass = SizeClass.SHORT,
+    ) -> None:
+        """Note that a call ended; unknown servers are ignored.
+
+        :param server_id: the server picked
+        :param latency_ms: time since ``started`` in milliseconds
+        :param result: how it ended
+        :param load: load carried on the answer, ``None`` without one
+        :param size_class: class of the call, as given to ``started``
+        """
+        group = self._group_of.get(server_id)
+        record = self._record(server_id)
+        if group is None or record is None:
+            return
+        now_ms = self._clock.now_ms()
+        start_ms = now_ms - latency_ms
+        if start_ms < record.created_ms - START_TOLERANCE_MS:
+            # The call went to an earlier incarnation.
+            return
+        record.in_flight = max(0, record.in_flight - 1)
+        if load is not None:
+            record.add_load(load, now_ms)
+        if size_class is SizeClass.SHORT:
+            record.remove_start(start_ms)
+        if result is CallResult.REFUSED_OVERLOAD:
+            record.add_refusal(now_ms)
+        if record.suspended:
+            self._finish_suspended(group, record, start_ms, latency_ms, result)
+            return
+        self._finish_regular(group, record, latency_ms, result, size_class)
+
+    def tracked_servers(self) -> int:
+        """Return how many servers have a record.
+
+        :return: number of servers
+        """
+        return len(self._group_of)
+
+    def _record(self, server_id: ServerId) -> ServerRecord | None:
+        group = self._group_of.get(server_id)
+        return None if group is None else group.records.get(server_id)
+
+    def _jitter(self) -> float:
+        return 1.0 + PROBE_JITTER * (2.0 * self._rng.random() - 1.0)
+
+    def _due_probe(self, group: ServiceGroup, now_ms: float) -> ServerRecord | None:
+        for record in group.suspended:
+            if record.is_probe_due(now_ms):
+                record.probe_at_ms = now_ms
+                return record
+        return None
+
+    def _choose(
+        self, group: ServiceGroup, excluded: frozenset[ServerId], now_ms: float
+    ) -> ServerRecord | None:
+        local, remote = group.local, group.remote
+        if excluded:
+            local = _without(local, excluded)
+            remote = _without(remote, excluded)
+        reference_ms = group.reference_ms
+        if group.local_is_overloaded and remote:
+            return self._draw(remote, now_ms, reference_ms) or self._rng.choice(remote)
+        near = self._draw(local, now_ms, reference_ms)
+        far = self._draw(remote, now_ms, reference_ms)
+        if near is not None and far is not None:
+            near_score = near.score(now_ms, reference_ms)
+            far_score = far.score(now_ms, reference_ms)
+            return far if near_score > REMOTE_ZONE_FACTOR * far_score else near
+        return near or far or self._choose_any(group, excluded)
+
+    def _choose_any(
+        self, group: ServiceGroup, excluded: frozenset[ServerId]
+    ) -> ServerRecord | None:
+        """Choose when no share admits the call, in order of preference."""
+        for records in (
+            group.local,
+            group.remote,
+            group.remote_overloaded,
+            group.suspended,
+        ):
+            left = _without(records, excluded)
+            if left:
+                return self._rng.choice(left)
+        return None
+
+    def _draw(
+        self, records: list[ServerRecord], now_ms: float, reference_ms: float
+    ) -> ServerRecord | None:
+        count = len(records)
+        if count == 0:
+            return None
+        random = self._rng.random
+        for _ in range(MAX_DRAWS):
+            index = int(random() * count)
+            first = records[index]
+            first_share = first.share(now_ms)
+            is_first_in = first_share >= 1.0 or random() < first_share
+            if count == 1:
+                if is_first_in:
+                    return first
+                continue
+            other_index = int(random() * (count - 1))
+            if other_index >= index:
+                other_index += 1
+            other = records[other_index]
+            other_share = other.share(now_ms)
+            if other_share < 1.0 and random() >= other_share:
+                if is_first_in:
+                    return first
+                continue
+            if not is_first_in:
+                return other
+            if other.score(now_ms, reference_ms) < first.score(now_ms, reference_ms):
+                return other
+            return first
+        return None
+
+    def _suspend_if_overdue(
+        self, group: ServiceGroup, record: ServerRecord, now_ms: float
+    ) -> bool:
+        if record.suspended or not group.reference_ms:
+            return False
+        if not record.is_overdue(now_ms, group.reference_ms):
+            return False
+        return self._suspend(group, record, now_ms)
+
+    def _suspend(
+        self, group: ServiceGroup, record: ServerRecord, now_ms: float
+    ) -> bool:
+        if not group.may_suspend():
+            return False
+        record.suspend(now_ms, self._jitter())
+        group.refresh(now_ms)
+        return True
+
+    def _finish_regular(
+        self,
+        group: ServiceGroup,
+        record: ServerRecord,
+        latency_ms: float,
+        result: CallResult,
+        size_class: SizeClass,
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        if result is CallResult.FAILED:
+            # A failure may be fast; its latency must not make the server attractive.
+            record.failures += 1
+            record.add_refusal(now_ms)
+            if record.failures >= FAILURES_TO_SUSPEND:
+                self._suspend(group, record, now_ms)
+            return
+        if result is not CallResult.ANSWERED:
+            return
+        record.failures = 0
+        if size_class is SizeClass.LONG:
+            return
+        record.add_latency(latency_ms, group.reference_ms)
+        slow_ms = slow_limit_ms(group.reference_ms)
+        if group.reference_ms and (record.latency_ms or 0.0) > slow_ms:
+            self._suspend(group, record, now_ms)
+
+    def _finish_suspended(
+        self,
+        group: ServiceGroup,
+        record: ServerRecord,
+        start_ms: float,
+        latency_ms: float,
+        result: CallResult,
+    ) -> None:
+        probe_at_ms = record.probe_at_ms
+        if probe_at_ms is None or start_ms < probe_at_ms - START_TOLERANCE_MS:
+            return
+        now_ms = self._clock.now_ms()
+        limit_ms = slow_limit_ms(group.reference_ms)
+        is_good = result is CallResult.ANSWERED and latency_ms <= limit_ms
+        if record.finish_probe(is_good, now_ms, self._jitter()):
+            record.recover(latency_ms, now_ms)
+            group.refresh(now_ms)
+
+
+@ROUTERS.register("uniform")
+class UniformRouter(Router):
+    """Baseline: each ready member is equally likely."""
+
+    def pick(
+        self, service: ServiceName, excluded: frozenset[ServerId]
+    ) -> RouteMember | None:
+        """Choose a ready member at random.
+
+        :return: a ready member, or ``None`` if none is left
+        """
+        group = self._groups.get(service)
+        if group is None:
+            return None
+        ready = [
+            record.member
+            for record in group.records.values()
+            if record.member.state is ServerState.READY
+            and record.member.server_id not in excluded
+        ]
+        return self._rng.choice(ready) if ready else None
+
+
+def _without(
+    records: list[ServerRecord], excluded: frozenset[ServerId]
+) -> list[ServerRecord]:
+    return [record for record in records if record.member.server_id not in excluded]
+
+
+def _is_fresh_start(before: RouteMember, after: RouteMember) -> bool:
+    if after.incarnation != before.incarnation:
+        return True
+    was_ready = before.state is ServerState.READY
+    return not was_ready and after.state is ServerState.READY
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/routing/server_state.py
@@ -0,0 +1,277 @@
+"""What the router remembers of one backend server."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from .members import RouteLoad
+    from .members import RouteMember
+
+# Weight of a new latency sample. With the cut-off of a sample, one outlier stays below
+# the factor at which a server counts as slowed, and two slow answers in a row pass it.
+LATENCY_WEIGHT = 0.25
+SAMPLE_LIMIT_FACTOR = 8.0
+# A server counts as slowed when its latency is above this multiple of the service's
+# median, plus a margin for the way between availability zones.
+SLOW_FACTOR = 3.0
+SLOW_MARGIN_MS = 10.0
+# A single overdue call needs a larger multiple than two of them, because the latency
+# of one call varies more.
+SINGLE_OVERDUE_FACTOR = 10.0
+# After this time the load carried on an answer counts half.
+LOAD_HALF_LIFE_MS = 500.0
+# A queued request delays a new one more than a running one does.
+QUEUED_WEIGHT = 4.0
+# A refusal halves the share, which then recovers within this time.
+REFUSAL_RECOVERY_MS = 1000.0
+MIN_REFUSAL_SHARE = 1.0 / 16.0
+NEW_RAMP_MS = 10_000.0
+RECOVERY_RAMP_MS = 5000.0
+MIN_RAMP_SHARE = 0.05
+FIRST_PROBE_INTERVAL_MS = 200.0
+MAX_PROBE_INTERVAL_MS = 10_000.0
+GOOD_PROBES_TO_RECOVER = 3
+FAILURES_TO_SUSPEND = 2
+# Start times kept for one server; more calls are counted but not timed.
+MAX_TIMED_STARTS = 1024
+# A call's latency may be measured slightly outside of its start and end here.
+START_TOLERANCE_MS = 1.0
+
+
+class ServerRecord:
+    """Measurements of one incarnation of a backend server.
+
+    :param member: the member
+    :param now_ms: time of creation in milliseconds
+    :param ramp_ms: time over which its share rises from the least to the full one
+    """
+
+    __slots__ = (
+        "created_ms",
+        "failures",
+        "good_probes",
+        "in_flight",
+        "latency_ms",
+        "load_at_ms",
+        "load_pressure",
+        "load_is_full",
+        "member",
+        "next_probe_ms",
+        "probe_at_ms",
+        "probe_interval_ms",
+        "ramp_end_ms",
+        "ramp_ms",
+        "refusal_at_ms",
+        "refusal_share",
+        "starts_ms",
+        "suspended",
+    )
+
+    def __init__(self, member: RouteMember, now_ms: float, ramp_ms: float) -> None:
+        self.member = member
+        self.created_ms = now_ms
+        self.in_flight = 0
+        self.latency_ms: float | None = None
+        self.starts_ms: list[float] = []
+        self.load_pressure = 0.0
+        self.load_at_ms = 0.0
+        self.load_is_full = False
+        self.failures = 0
+        self.refusal_share = 1.0
+        self.refusal_at_ms = 0.0
+        self.ramp_ms = ramp_ms
+        self.ramp_end_ms = now_ms + ramp_ms
+        self.suspended = False
+        self.probe_interval_ms = FIRST_PROBE_INTERVAL_MS
+        self.next_probe_ms = 0.0
+        self.probe_at_ms: float | None = None
+        self.good_probes = 0
+
+    def score(self, now_ms: float, reference_ms: float) -> float:
+        """Return the expected cost of one more call; lower is better.
+
+        :param now_ms: current time in milliseconds
+        :param reference_ms: latency assumed while none is known
+        :return: milliseconds, weighted by calls in flight and load
+        """
+        latency_ms = self.latency_ms
+        if latency_ms is None:
+            latency_ms = reference_ms
+        score = (self.in_flight + 1) * latency_ms
+        if self.load_pressure:
+            age_ms = now_ms - self.load_at_ms
+            score *= 1.0 + self.load_pressure * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
+        return score
+
+    def share(self, now_ms: float) -> float:
+        """Return the part of its usual traffic that the server may get now.
+
+        :param now_ms: current time in milliseconds
+        :return: a number above 0, up to 1
+        """
+        share = 1.0
+        if now_ms < self.ramp_end_ms:
+            done = 1.0 - (self.ramp_end_ms - now_ms) / self.ramp_ms
+            share = max(MIN_RAMP_SHARE, done)
+        if self.refusal_share < 1.0:
+            share *= self._refusal_share(now_ms)
+        return share
+
+    def add_start(self, now_ms: float) -> None:
+        """Note the start of a call whose latency counts.
+
+        :param now_ms: current time in milliseconds
+        """
+        if len(self.starts_ms) < MAX_TIMED_STARTS:
+            self.starts_ms.append(now_ms)
+
+    def remove_start(self, start_ms: float) -> None:
+        """Remove the start nearest to a time.
+
+        :param start_ms: start of the call that ended, in milliseconds
+        """
+        starts = self.starts_ms
+        if not starts:
+            return
+        index = bisect_left(starts, start_ms)
+        if index == len(starts) or (
+            index > 0 and start_ms - starts[index - 1] < starts[index] - start_ms
+        ):
+            index -= 1
+        del starts[index]
+
+    def add_latency(self, latency_ms: float, reference_ms: float) -> None:
+        """Add a sample to the moving average.
+
+        :param latency_ms: the sample in milliseconds
+        :param reference_ms: median of the service, 0 if unknown
+        """
+        if self.latency_ms is None:
+            self.latency_ms = reference_ms or latency_ms
+        limit_ms = SAMPLE_LIMIT_FACTOR * max(self.latency_ms, reference_ms)
+        # Without the margin, latencies near zero could never grow again.
+        sample_ms = min(latency_ms, limit_ms + SLOW_MARGIN_MS)
+        self.latency_ms += LATENCY_WEIGHT * (sample_ms - self.latency_ms)
+
+    def add_load(self, load: RouteLoad, now_ms: float) -> None:
+        """Take over the load carried on an answer, unless a fresher one is known.
+
+        :param load: the load
+        :param now_ms: current time in milliseconds
+        """
+        measured_ms = now_ms - max(0.0, load.age_ms)
+        if measured_ms < self.load_at_ms:
+            return
+        limit = max(1, load.limit)
+        queued = max(0, load.queue_length)
+        running = max(0, load.in_flight)
+        self.load_at_ms = measured_ms
+        self.load_pressure = (running + QUEUED_WEIGHT * queued) / limit
+        self.load_is_full = running >= limit and queued > 0
+
+    def add_refusal(self, now_ms: float) -> None:
+        """Halve the share for a short time.
+
+        :param now_ms: current time in milliseconds
+        """
+        share = self._refusal_share(now_ms) / 2.0
+        self.refusal_share = max(MIN_REFUSAL_SHARE, share)
+        self.refusal_at_ms = now_ms
+
+    def is_overloaded(self, now_ms: float) -> bool:
+        """Tell whether fresh load or fresh refusals show an overload.
+
+        :param now_ms: current time in milliseconds
+        :return: whether the server is overloaded
+        """
+        if self.load_is_full and now_ms - self.load_at_ms < 2 * LOAD_HALF_LIFE_MS:
+            return True
+        return self._refusal_share(now_ms) < 0.5
+
+    def is_overdue(self, now_ms: float, reference_ms: float) -> bool:
+        """Tell whether calls in flight show that the server is slowed.
+
+        :param now_ms: current time in milliseconds
+        :param reference_ms: median latency of the service
+        :return: whether two calls, or one by far, take too long
+        """
+        starts = self.starts_ms
+        if not starts:
+            return False
+        limit_ms = SINGLE_OVERDUE_FACTOR * reference_ms + SLOW_MARGIN_MS
+        if now_ms - starts[0] > limit_ms:
+            return True
+        return len(starts) > 1 and now_ms - starts[1] > slow_limit_ms(reference_ms)
+
+    def suspend(self, now_ms: float, jitter: float) -> None:
+        """Stop regular traffic; the first probe is due after the first interval.
+
+        :param now_ms: current time in milliseconds
+        :param jitter: factor on the interval, so that callers don't probe together
+        """
+        self.suspended = True
+        self.good_probes = 0
+        self.failures = 0
+        self.probe_at_ms = None
+        self.probe_interval_ms = FIRST_PROBE_INTERVAL_MS
+        self.next_probe_ms = now_ms + self.probe_interval_ms * jitter
+
+    def is_probe_due(self, now_ms: float) -> bool:
+        """Tell whether the next probe may be sent.
+
+        :param now_ms: current time in milliseconds
+        :return: false while a probe is in flight or the interval is not over
+        """
+        return self.probe_at_ms is None and now_ms >= self.next_probe_ms
+
+    def finish_probe(self, is_good: bool, now_ms: float, jitter: float) -> bool:
+        """Count the result of a probe; a bad one doubles the interval.
+
+        :param is_good: whether it was answered in the usual time
+        :param now_ms: current time in milliseconds
+        :param jitter: factor on the interval
+        :return: whether the server has recovered
+        """
+        self.probe_at_ms = None
+        if is_good:
+            self.good_probes += 1
+            self.probe_interval_ms = FIRST_PROBE_INTERVAL_MS
+        else:
+            self.good_probes = 0
+            self.probe_interval_ms = min(
+                MAX_PROBE_INTERVAL_MS, self.probe_interval_ms * 2
+            )
+        self.next_probe_ms = now_ms + self.probe_interval_ms * jitter
+        return self.good_probes >= GOOD_PROBES_TO_RECOVER
+
+    def recover(self, latency_ms: float, now_ms: float) -> None:
+        """Return to regular traffic, with a share that rises from the least one.
+
+        :param latency_ms: latency of the last probe
+        :param now_ms: current time in milliseconds
+        """
+        self.suspended = False
+        self.latency_ms = latency_ms
+        self.starts_ms.clear()
+        self.ramp_ms = RECOVERY_RAMP_MS
+        self.ramp_end_ms = now_ms + RECOVERY_RAMP_MS
+
+    def _refusal_share(self, now_ms: float) -> float:
+        recovered = (now_ms - self.refusal_at_ms) / REFUSAL_RECOVERY_MS
+        share = self.refusal_share + (1.0 - self.refusal_share) * recovered
+        if share >= 1.0:
+            self.refusal_share = 1.0
+            return 1.0
+        return share
+
+
+def slow_limit_ms(reference_ms: float) -> float:
+    """Return the latency above which a server counts as slowed.
+
+    :param reference_ms: median latency of the service
+    :return: limit in milliseconds
+    """
+    return SLOW_FACTOR * reference_ms + SLOW_MARGIN_MS
--- /dev/null
+++ b/packages/policy/src/marjoramstep_policy/routing/service_group.py
@@ -0,0 +1,110 @@
+"""Members of one service, split for the router."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.states import ServerState
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import ServerId
+    from marjoramstep_core.ids import ZoneName
+
+    from .server_state import ServerRecord
+
+# How long the median latency and the lists of candidates are used before they are
+# computed again. Suspensions, recoveries and members take effect at once.
+REFRESH_MS = 50.0
+# Share of the members of a zone that makes the zone count as overloaded.
+OVERLOADED_ZONE_SHARE = 0.5
+# Share of the ready members that may be suspended for slowness. A median says little
+# once more of them are slow.
+MAX_SUSPENDED_SHARE = 0.5
+
+
+class ServiceGroup:
+    """Records of one service and the lists derived from them.
+
+    :param own_zone: availability zone of this node
+    """
+
+    __slots__ = (
+        "_own_zone",
+        "local",
+        "next_refresh_ms",
+        "ready_count",
+        "records",
+        "reference_ms",
+        "remote",
+        "remote_overloaded",
+        "local_is_overloaded",
+        "suspended",
+    )
+
+    def __init__(self, own_zone: ZoneName) -> None:
+        self._own_zone = own_zone
+        self.records: dict[ServerId, ServerRecord] = {}
+        self.local: list[ServerRecord] = []
+        self.remote: list[ServerRecord] = []
+        self.remote_overloaded: list[ServerRecord] = []
+        self.suspended: list[ServerRecord] = []
+        self.local_is_overloaded = False
+        self.ready_count = 0
+        self.reference_ms = 0.0
+        self.next_refresh_ms = 0.0
+
+    def refresh(self, now_ms: float) -> None:
+        """Compute the lists, the zones' overload and the median latency again.
+
+        :param now_ms: current time in milliseconds
+        """
+        ready = [
+            record
+            for record in self.records.values()
+            if record.member.state is ServerState.READY
+        ]
+        overloaded_zones = _overloaded_zones(ready, now_ms)
+        self.next_refresh_ms = now_ms + REFRESH_MS
+        self.ready_count = len(ready)
+        self.local_is_overloaded = self._own_zone in overloaded_zones
+        self.suspended = [record for record in ready if record.suspended]
+        self.local, self.remote, self.remote_overloaded = [], [], []
+        for record in ready:
+            if record.suspended:
+                continue
+            if record.member.zone == self._own_zone:
+                self.local.append(record)
+            elif record.member.zone in overloaded_zones:
+                self.remote_overloaded.append(record)
+            else:
+                self.remote.append(record)
+        latencies = sorted(
+            record.latency_ms for record in ready if record.latency_ms is not None
+        )
+        # The lower median, so that of two members the faster one is the reference.
+        if latencies:
+            self.reference_ms = latencies[(len(latencies) - 1) // 2]
+
+    def may_suspend(self) -> bool:
+        """Tell whether one more member may be suspended for slowness.
+
+        :return: false when this would suspend more than half of the ready members
+        """
+        limit = self.ready_count * MAX_SUSPENDED_SHARE
+        return len(self.suspended) + 1 <= limit
+
+
+def _overloaded_zones(ready: list[ServerRecord], now_ms: float) -> set[ZoneName]:
+    totals: dict[ZoneName, int] = {}
+    overloaded: dict[ZoneName, int] = {}
+    for record in ready:
+        zone = record.member.zone
+        totals[zone] = totals.get(zone, 0) + 1
+        if record.is_overloaded(now_ms):
+            overloaded[zone] = overloaded.get(zone, 0) + 1
+    return {
+        zone
+        for zone, count in overloaded.items()
+        if count >= OVERLOADED_ZONE_SHARE * totals[zone]
+    }
