Add the replicated state machine and the membership registry

Cause: the replicated log needs a deterministic state for the table, the claims of requests that may not be repeated, crash counts and the audit trail.

--- a/packages/state/src/marjoramstep_state/__init__.py
+++ b/packages/state/src/marjoramstep_state/__init__.py
@@ -1,1 +1,26 @@
-"""Replicated state machine (table, claims, audit trail) and the membership registry."""
+"""State shared by all processes: the replicated state machine and the membership."""
+
+from __future__ import annotations
+
+from .commands import COMMANDS
+from .commands import decode_command
+from .commands import encode_command
+from .errors import InvalidCommandError
+from .errors import InvalidSnapshotError
+from .limits import StateLimits
+from .machine import StateMachine
+from .membership.placement import choose_replicas
+from .membership.registry import MembershipRegistry
+
+
+__all__ = [
+    "COMMANDS",
+    "InvalidCommandError",
+    "InvalidSnapshotError",
+    "MembershipRegistry",
+    "StateLimits",
+    "StateMachine",
+    "choose_replicas",
+    "decode_command",
+    "encode_command",
+]
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of requests that may not be repeated."""
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/claims/partition.py
@@ -0,0 +1,236 @@
+"""One partition of the claims."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+from typing import Any
+
+from marjoramstep_core.ids import RequestKey
+
+from ..commands import EndState
+from ..errors import InvalidSnapshotError
+from ..fields import Fields
+from ..results import ClaimResult
+from ..results import ClaimVerdict
+from .record import ClaimRecord
+from .record import ClaimState
+
+
+if TYPE_CHECKING:
+    from ..answer import AnswerRecord
+    from ..commands import Claim
+    from ..commands import EndClaim
+    from ..limits import StateLimits
+
+
+VERDICT_OF_STATE = {
+    ClaimState.CLAIMED: ClaimVerdict.RUNNING,
+    ClaimState.DONE: ClaimVerdict.DONE,
+    ClaimState.ABANDONED: ClaimVerdict.ABANDONED,
+    ClaimState.CLOSED: ClaimVerdict.CLOSED,
+}
+
+
+class ClaimPartition:
+    """Records of the keys of one partition; holds nothing of other partitions.
+
+    The keys given to its methods are well formed and within their lifetime; see
+    :class:`ClaimStore`.
+
+    :param limits: bounds of the state
+    """
+
+    def __init__(self, limits: StateLimits) -> None:
+        self._limits = limits
+        self._records: dict[RequestKey, ClaimRecord] = {}
+        self._by_issue: list[tuple[int, RequestKey]] = []
+        self._answer_sizes: dict[RequestKey, int] = {}
+        self._answers_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    @property
+    def answers_bytes(self) -> int:
+        """Size of all stored answers in bytes."""
+        return self._answers_bytes
+
+    def claim(self, command: Claim, issued_ms: int) -> ClaimResult:
+        """Grant a key to an attempt, or say why not.
+
+        :param command: the claim
+        :param issued_ms: when the key was issued, in Unix milliseconds
+        :return: ``GRANTED`` also for a resend while the attempt holds the key
+        """
+        record = self._records.get(command.request_key)
+        if record is None:
+            if len(self._records) >= self._limits.claims_per_partition:
+                return _full()
+            record = ClaimRecord(issued_ms, ClaimState.ABANDONED)
+            self._add(command.request_key, record)
+        elif record.fingerprint not in ("", command.fingerprint):
+            return ClaimResult(ClaimVerdict.KEY_REUSED, "key used for other content")
+        if command.attempt_id in record.abandoned:
+            return ClaimResult(ClaimVerdict.ABANDONED, "this attempt was abandoned")
+        if record.state is ClaimState.ABANDONED:
+            record.state = ClaimState.CLAIMED
+            record.attempt_id = command.attempt_id
+            record.node_id = command.node_id
+            record.row_name = command.row_name
+            record.fingerprint = command.fingerprint
+            return ClaimResult(ClaimVerdict.GRANTED)
+        holds = record.attempt_id == command.attempt_id
+        if holds and record.state is ClaimState.CLAIMED:
+            return ClaimResult(ClaimVerdict.GRANTED)
+        return _state_result(record)
+
+    def end(self, command: EndClaim, issued_ms: int) -> ClaimResult:
+        """Record the end of an attempt.
+
+        :param command: the end
+        :param issued_ms: when the key was issued, in Unix milliseconds
+        :return: ``RECORDED``, also for a resend, or ``NOT_HOLDER`` without a change
+        """
+        if command.end_state is EndState.ABANDONED:
+            return self._abandon(command, issued_ms)
+        record = self._records.get(command.request_key)
+        if record is None or record.attempt_id != command.attempt_id:
+            return ClaimResult(ClaimVerdict.NOT_HOLDER, "the attempt holds no claim")
+        if record.state is ClaimState.DONE:
+            return ClaimResult(ClaimVerdict.RECORDED)
+        if record.state is not ClaimState.CLAIMED:
+            return ClaimResult(ClaimVerdict.NOT_HOLDER, "the attempt was abandoned")
+        record.state = ClaimState.DONE
+        if command.answer is not None:
+            self._store_answer(command.request_key, record, command.answer)
+        return ClaimResult(ClaimVerdict.RECORDED)
+
+    def look_up(self, key: RequestKey) -> ClaimResult:
+        """Return the state of a key without a change.
+
+        :param key: the key
+        :return: the state, with the stored answer if the key is done
+        """
+        record = self._records.get(key)
+        return (
+            ClaimResult(ClaimVerdict.NONE) if record is None else _state_result(record)
+        )
+
+    def close(self, key: RequestKey, issued_ms: int) -> ClaimResult:
+        """Close a key that has no claim, so that none can be granted later.
+
+        :param key: the key
+        :param issued_ms: when the key was issued, in Unix milliseconds
+        :return: ``CLOSED`` proves that the request did not run and never will
+        """
+        record = self._records.get(key)
+        if record is None:
+            if len(self._records) >= self._limits.claims_per_partition:
+                return _full()
+            record = ClaimRecord(issued_ms, ClaimState.CLOSED)
+            self._add(key, record)
+        elif record.state is ClaimState.ABANDONED:
+            record.state = ClaimState.CLOSED
+        return _state_result(record)
+
+    def prune(self, before_ms: int, limit: int) -> int:
+        """Remove records of keys that are expired.
+
+        :param before_ms: keys issued before this Unix time in milliseconds are expired
+        :param limit: largest number of records to remove
+        :return: number of removed records
+        """
+        removed = 0
+        while removed < limit and self._by_issue and self._by_issue[0][0] < before_ms:
+            _, key = heapq.heappop(self._by_issue)
+            del self._records[key]
+            self._answers_bytes -= self._answer_sizes.pop(key, 0)
+            removed += 1
+        return removed
+
+    def _abandon(self, command: EndClaim, issued_ms: int) -> ClaimResult:
+        record = self._records.get(command.request_key)
+        if record is None:
+            # The end overtook its claim; the record keeps the claim from being granted.
+            if len(self._records) >= self._limits.claims_per_partition:
+                return _full()
+            record = ClaimRecord(issued_ms, ClaimState.ABANDONED)
+            self._add(command.request_key, record)
+        holds = record.attempt_id == command.attempt_id
+        if holds and record.state is ClaimState.DONE:
+            return ClaimResult(ClaimVerdict.NOT_HOLDER, "the attempt is done")
+        if holds and record.state is ClaimState.CLAIMED:
+            record.state = ClaimState.ABANDONED
+        if record.state in (ClaimState.CLAIMED, ClaimState.ABANDONED):
+            self._remember_abandoned(record, command)
+        return ClaimResult(ClaimVerdict.RECORDED)
+
+    def _remember_abandoned(self, record: ClaimRecord, command: EndClaim) -> None:
+        if len(record.abandoned) < self._limits.abandoned_per_key:
+            record.abandoned.add(command.attempt_id)
+        elif record.state is ClaimState.ABANDONED:
+            # A closed key refuses every attempt, so the list can stay bounded. While
+            # another attempt holds the claim, none is granted either.
+            record.state = ClaimState.CLOSED
+
+    def _store_answer(
+        self, key: RequestKey, record: ClaimRecord, answer: AnswerRecord
+    ) -> None:
+        if answer.size_bytes > self._limits.answer_bytes:
+            answer = answer.without_body()
+        record.answer = answer
+        self._answer_sizes[key] = answer.size_bytes
+        self._answers_bytes += answer.size_bytes
+        while self._answers_bytes > self._limits.answers_per_partition_bytes:
+            oldest = next(iter(self._answer_sizes))
+            self._answers_bytes -= self._answer_sizes.pop(oldest)
+            old_answer = self._records[oldest].answer
+            if old_answer is not None:
+                self._records[oldest].answer = old_answer.without_body()
+
+    def _add(self, key: RequestKey, record: ClaimRecord) -> None:
+        self._records[key] = record
+        heapq.heappush(self._by_issue, (record.issued_ms, key))
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the partition as JSON values.
+
+        :return: records by key, and the keys with stored answers, oldest first
+        """
+        records = {key: record.to_json() for key, record in self._records.items()}
+        return {"records": records, "answers": list(self._answer_sizes)}
+
+    @classmethod
+    def from_json(cls, document: Any, limits: StateLimits) -> ClaimPartition:
+        """Build a partition from JSON values.
+
+        :param document: as returned by :meth:`to_json`
+        :param limits: bounds of the state
+        :return: the partition
+        :raises InvalidSnapshotError: if the parts do not agree
+        :raises InvalidCommandError: if a field is not valid
+        :raises ValueError: if a state is unknown
+        """
+        fields = Fields(document)
+        records = fields.value("records")
+        if not isinstance(records, dict):
+            raise InvalidSnapshotError("records: expected an object")
+        partition = cls(limits)
+        for key, record in records.items():
+            partition._add(RequestKey(key), ClaimRecord.from_json(record))
+        for key in map(RequestKey, fields.texts("answers")):
+            answer = partition._records[key].answer if key in records else None
+            if answer is None:
+                raise InvalidSnapshotError(f"answers: {key!r} has no stored answer")
+            partition._answer_sizes[key] = answer.size_bytes
+            partition._answers_bytes += answer.size_bytes
+        return partition
+
+
+def _state_result(record: ClaimRecord) -> ClaimResult:
+    return ClaimResult(VERDICT_OF_STATE[record.state], answer=record.answer)
+
+
+def _full() -> ClaimResult:
+    return ClaimResult(ClaimVerdict.UNAVAILABLE, "the partition of this key is full")
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/commands.py
@@ -0,0 +1,398 @@
+"""Commands of the replicated log and their payloads."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from enum import unique
+from typing import TYPE_CHECKING
+from typing import Any
+from typing import ClassVar
+from typing import Protocol
+from typing import TypeVar
+
+import orjson
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.ids import AttemptId
+from marjoramstep_core.ids import EditKey
+from marjoramstep_core.ids import Fingerprint
+from marjoramstep_core.ids import NodeId
+from marjoramstep_core.ids import OperatorName
+from marjoramstep_core.ids import ReplicaId
+from marjoramstep_core.ids import RequestKey
+from marjoramstep_core.ids import RowName
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.ids import TableVersion
+from marjoramstep_core.registry import Registry
+from marjoramstep_core.table import EditOperation
+
+from .answer import AnswerRecord
+from .errors import InvalidCommandError
+from .fields import Fields
+from .limits import COMMAND_LIMIT_BYTES
+
+
+if TYPE_CHECKING:
+    from typing import Self
+
+E = TypeVar("E", bound=Enum)
+
+
+@unique
+class EndState(Enum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    ABANDONED = "abandoned"
+
+
+@unique
+class ReplicaAction(Enum):
+    """A change of the set of replicas."""
+
+    ADMIT = "admit"
+    REMOVE = "remove"
+
+
+@unique
+class ChangeVerdict(Enum):
+    """Whether a change of the set of replicas was made."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+
+
+class Command(Protocol):
+    """A command; ``log_time_ms`` is stamped by the leader, in Unix milliseconds."""
+
+    kind: ClassVar[str]
+
+    @property
+    def log_time_ms(self) -> int:
+        """Time of the log entry in Unix milliseconds."""
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> Self:
+        """Build the command; raises :class:`InvalidCommandError`."""
+
+
+COMMANDS: Registry[type[Command]] = Registry("command")
+
+
+@COMMANDS.register("edit-table")
+@dataclass(frozen=True)
+class EditTable:
+    """Edit of the table by compare-and-set on its version.
+
+    :param log_time_ms: time of the log entry
+    :param edit_key: chosen by the operator's tool; equal on a resend
+    :param base_version: version that the operator saw
+    :param operator: who edits
+    :param origin: address from where
+    :param operations: applied all or none
+    """
+
+    kind: ClassVar[str] = "edit-table"
+    log_time_ms: int
+    edit_key: EditKey
+    base_version: TableVersion
+    operator: OperatorName
+    origin: str
+    operations: tuple[EditOperation, ...]
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        operations = [operation.to_json() for operation in self.operations]
+        return {**vars(self), "operations": operations}
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> EditTable:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(
+            fields.integer("log_time_ms"),
+            EditKey(fields.edit_key("edit_key")),
+            TableVersion(fields.integer("base_version")),
+            OperatorName(fields.name("operator")),
+            fields.text("origin"),
+            tuple(map(_read_operation, fields.items("operations"))),
+        )
+
+
+def _read_operation(document: Any) -> EditOperation:
+    try:
+        operation = EditOperation.from_json(document)
+    except InvalidInputError as error:
+        raise InvalidCommandError(error.message) from error
+    for column, value in operation.cells.items():
+        # Nested values could exceed the depth that the audit trail can write.
+        if isinstance(value, (dict, list)):
+            raise InvalidCommandError(
+                f"{operation.row[:64]}.{column[:64]}: expected a text, a number, true "
+                "or false"
+            )
+    return operation
+
+
+@COMMANDS.register("claim")
+@dataclass(frozen=True)
+class Claim:
+    """Request for permission to start a request that may not be repeated.
+
+    :param log_time_ms: time of the log entry
+    :param request_key: key given by the caller
+    :param attempt_id: unique for each attempt of a serving node
+    :param node_id: the serving node
+    :param row_name: row of the table that the request matched
+    :param fingerprint: hash of the request's content
+    """
+
+    kind: ClassVar[str] = "claim"
+    log_time_ms: int
+    request_key: RequestKey
+    attempt_id: AttemptId
+    node_id: NodeId
+    row_name: RowName
+    fingerprint: Fingerprint
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return dict(vars(self))
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> Claim:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(
+            fields.integer("log_time_ms"),
+            RequestKey(fields.text("request_key")),
+            AttemptId(fields.name("attempt_id")),
+            NodeId(fields.name("node_id")),
+            RowName(fields.name("row_name")),
+            Fingerprint(fields.name("fingerprint")),
+        )
+
+
+@COMMANDS.register("end-claim")
+@dataclass(frozen=True)
+class EndClaim:
+    """End of an attempt.
+
+    :param log_time_ms: time of the log entry
+    :param request_key: key given by the caller
+    :param attempt_id: the attempt that ended
+    :param end_state: ``ABANDONED`` only with proof that the request did not start
+    :param answer: the answer of a request that is done, else ``None``
+    """
+
+    kind: ClassVar[str] = "end-claim"
+    log_time_ms: int
+    request_key: RequestKey
+    attempt_id: AttemptId
+    end_state: EndState
+    answer: AnswerRecord | None = None
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return {
+            **vars(self),
+            "end_state": self.end_state.value,
+            "answer": self.answer.to_json() if self.answer else None,
+        }
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> EndClaim:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        end_state = _choice(EndState, fields, "end_state")
+        document = fields.value("answer")
+        if (document is not None) != (end_state is EndState.DONE):
+            raise InvalidCommandError("answer: expected one for 'done' only")
+        return cls(
+            fields.integer("log_time_ms"),
+            RequestKey(fields.text("request_key")),
+            AttemptId(fields.name("attempt_id")),
+            end_state,
+            None if document is None else AnswerRecord.from_json(document),
+        )
+
+
+@COMMANDS.register("look-up-claim")
+@dataclass(frozen=True)
+class LookUpClaim:
+    """Query of a key, with ``close`` also a fence against any later claim.
+
+    :param log_time_ms: time of the log entry
+    :param request_key: key given by the caller
+    :param close: whether to close a key that did not run
+    """
+
+    kind: ClassVar[str] = "look-up-claim"
+    log_time_ms: int
+    request_key: RequestKey
+    close: bool
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return dict(vars(self))
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> LookUpClaim:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(
+            fields.integer("log_time_ms"),
+            RequestKey(fields.text("request_key")),
+            fields.flag("close"),
+        )
+
+
+@COMMANDS.register("report-crash")
+@dataclass(frozen=True)
+class ReportCrash:
+    """Report that a request was in flight when a backend server crashed.
+
+    :param log_time_ms: time of the log entry
+    :param service_name: service of the backend server
+    :param fingerprint: hash of the request's content
+    :param report_id: unique for each crash; equal on a resend
+    """
+
+    kind: ClassVar[str] = "report-crash"
+    log_time_ms: int
+    service_name: ServiceName
+    fingerprint: Fingerprint
+    report_id: str
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return dict(vars(self))
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> ReportCrash:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(
+            fields.integer("log_time_ms"),
+            ServiceName(fields.name("service_name")),
+            Fingerprint(fields.name("fingerprint")),
+            fields.name("report_id"),
+        )
+
+
+@COMMANDS.register("record-replica-change")
+@dataclass(frozen=True)
+class RecordReplicaChange:
+    """Entry of the audit trail for a change of the set of replicas.
+
+    :param log_time_ms: time of the log entry
+    :param operator: who asked for the change
+    :param origin: address from where
+    :param action: what was asked for
+    :param replica_id: the replica concerned
+    :param verdict: whether the change was made
+    :param before: ids of the replicas before
+    :param after: ids of the replicas after
+    :param detail: why it was refused, else empty
+    """
+
+    kind: ClassVar[str] = "record-replica-change"
+    log_time_ms: int
+    operator: OperatorName
+    origin: str
+    action: ReplicaAction
+    replica_id: ReplicaId
+    verdict: ChangeVerdict
+    before: tuple[str, ...]
+    after: tuple[str, ...]
+    detail: str = ""
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        verdict = self.verdict.value
+        return {**vars(self), "action": self.action.value, "verdict": verdict}
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> RecordReplicaChange:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(
+            fields.integer("log_time_ms"),
+            OperatorName(fields.name("operator")),
+            fields.text("origin"),
+            _choice(ReplicaAction, fields, "action"),
+            ReplicaId(fields.name("replica_id")),
+            _choice(ChangeVerdict, fields, "verdict"),
+            fields.texts("before"),
+            fields.texts("after"),
+            fields.text("detail"),
+        )
+
+
+@COMMANDS.register("advance-time")
+@dataclass(frozen=True)
+class AdvanceTime:
+    """Raises the log time and prunes expired records when nothing else does.
+
+    :param log_time_ms: time of the log entry
+    """
+
+    kind: ClassVar[str] = "advance-time"
+    log_time_ms: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return dict(vars(self))
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> AdvanceTime:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(fields.integer("log_time_ms"))
+
+
+def _choice(enum: type[E], fields: Fields, name: str) -> E:
+    text = fields.text(name)
+    try:
+        return enum(text)
+    except ValueError:
+        known = ", ".join(str(member.value) for member in enum)
+        raise InvalidCommandError(
+            f"{name}: expected one of {known}, found {text[:80]!r}"
+        ) from None
+
+
+def encode_command(command: Command) -> bytes:
+    """Write a command as the payload of a log entry, and check that it reads back.
+
+    :param command: the command
+    :return: JSON
+    :raises InvalidCommandError: if a field is not valid or the payload too large
+    """
+    document = {"kind": command.kind, **command.to_json()}
+    try:
+        payload = orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+    except (TypeError, ValueError) as error:
+        raise InvalidCommandError(f"cannot be written as JSON: {error}") from error
+    decode_command(payload)
+    return payload
+
+
+def decode_command(payload: bytes) -> Command:
+    """Read a command from the payload of a log entry.
+
+    :param payload: as returned by :func:`encode_command`
+    :return: the command
+    :raises InvalidCommandError: if it is not JSON, of an unknown kind, too large or
+        a field is not valid
+    """
+    if len(payload) > COMMAND_LIMIT_BYTES:
+        raise InvalidCommandError(
+            f"expected at most {COMMAND_LIMIT_BYTES} bytes, found {len(payload)}"
+        )
+    try:
+        document = orjson.loads(payload)
+    except orjson.JSONDecodeError as error:
+        raise InvalidCommandError(f"not JSON: {error}") from error
+    fields = Fields(document)
+    kind = fields.text("kind")
+    if kind not in COMMANDS:
+        known = ", ".join(COMMANDS)
+        raise InvalidCommandError(f"unknown kind {kind[:80]!r}; known are: {known}")
+    return COMMANDS.get(kind).from_json(fields)
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/fields.py
@@ -0,0 +1,150 @@
+"""Checked access to the fields of a JSON object."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+import re
+from typing import Any
+
+from .errors import InvalidCommandError
+
+
+TEXT_LIMIT_CHARACTERS = 512
+# Whole numbers up to this one are exact in every JSON reader.
+INTEGER_LIMIT = 2**53
+EDIT_KEY_PATTERN = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
+
+
+class Fields:
+    """Reads typed fields and names the faulty one.
+
+    :param document: the decoded JSON value
+    :raises InvalidCommandError: if the value is not an object
+    """
+
+    def __init__(self, document: Any) -> None:
+        if not isinstance(document, dict):
+            raise InvalidCommandError("expected a JSON object")
+        self._document: dict[str, Any] = document
+
+    def text(self, name: str, *, limit: int = TEXT_LIMIT_CHARACTERS) -> str:
+        """Return a text of bounded length.
+
+        :param name: name of the field
+        :param limit: largest number of characters
+        :return: the text, may be empty
+        :raises InvalidCommandError: if it is missing, not a text or too long
+        """
+        value = self._document.get(name)
+        if not isinstance(value, str) or len(value) > limit:
+            raise self._fault(name, f"a text of at most {limit} characters")
+        return value
+
+    def name(self, name: str) -> str:
+        """Return a text that is not empty.
+
+        :param name: name of the field
+        :return: the text
+        :raises InvalidCommandError: if it is missing, not a text, empty or too long
+        """
+        value = self.text(name)
+        if not value:
+            raise self._fault(name, "a text that is not empty")
+        return value
+
+    def edit_key(self, name: str) -> str:
+        """Return an edit key.
+
+        :param name: name of the field
+        :return: the key
+        :raises InvalidCommandError: if the key is malformed
+        """
+        value = self.text(name)
+        if not EDIT_KEY_PATTERN.fullmatch(value):
+            raise self._fault(name, "1 to 128 letters, digits, '_', '.', ':' or '-'")
+        return value
+
+    def integer(self, name: str) -> int:
+        """Return a whole number that is not negative.
+
+        :param name: name of the field
+        :return: the number
+        :raises InvalidCommandError: if it is missing, not whole or out of range
+        """
+        value = self._document.get(name)
+        if type(value) is not int or not 0 <= value <= INTEGER_LIMIT:
+            raise self._fault(name, "a whole number from 0 to 2^53")
+        return value
+
+    def flag(self, name: str) -> bool:
+        """Return true or false.
+
+        :param name: name of the field
+        :return: the value
+        :raises InvalidCommandError: if it is missing or not a boolean
+        """
+        value = self._document.get(name)
+        if not isinstance(value, bool):
+            raise self._fault(name, "true or false")
+        return value
+
+    def items(self, name: str) -> list[Any]:
+        """Return a list with elements of any kind.
+
+        :param name: name of the field
+        :return: the list
+        :raises InvalidCommandError: if it is missing or not a list
+        """
+        value = self._document.get(name)
+        if not isinstance(value, list):
+            raise self._fault(name, "a list")
+        return value
+
+    def texts(self, name: str) -> tuple[str, ...]:
+        """Return a list of texts.
+
+        :param name: name of the field
+        :return: the texts
+        :raises InvalidCommandError: if it is not a list of texts
+        """
+        values = self.items(name)
+        if not all(isinstance(value, str) for value in values):
+            raise self._fault(name, "a list of texts")
+        return tuple(values)
+
+    def value(self, name: str) -> Any:
+        """Return a field of any kind.
+
+        :param name: name of the field
+        :return: the value, ``None`` when it is missing
+        """
+        return self._document.get(name)
+
+    def data(self, name: str) -> bytes:
+        """Return bytes written in base64.
+
+        :param name: name of the field
+        :return: the bytes
+        :raises InvalidCommandError: if the text is not base64
+        """
+        value = self._document.get(name)
+        if not isinstance(value, str):
+            raise self._fault(name, "a text in base64")
+        try:
+            return base64.b64decode(value, validate=True)
+        except (binascii.Error, ValueError):
+            raise self._fault(name, "a text in base64") from None
+
+    def _fault(self, name: str, expected: str) -> InvalidCommandError:
+        found = repr(self._document.get(name))[:80]
+        return InvalidCommandError(f"{name}: expected {expected}, found {found}")
+
+
+def encode_data(data: bytes) -> str:
+    """Write bytes as base64 for JSON.
+
+    :param data: the bytes
+    :return: ASCII text
+    """
+    return base64.b64encode(data).decode("ascii")
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/machine.py
@@ -0,0 +1,289 @@
+"""The state machine that the replicated log drives."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from typing import Any
+
+import orjson
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.ids import LogIndex
+from marjoramstep_core.table.diff import diff_tables
+
+from .audit import AuditTrail
+from .claims.store import ClaimStore
+from .commands import AdvanceTime
+from .commands import Claim
+from .commands import EditTable
+from .commands import EndClaim
+from .commands import LookUpClaim
+from .commands import RecordReplicaChange
+from .commands import ReportCrash
+from .commands import decode_command
+from .edits import EditBook
+from .errors import InvalidCommandError
+from .errors import InvalidSnapshotError
+from .fields import Fields
+from .limits import StateLimits
+from .quarantine import QuarantineCounts
+from .results import AdvanceResult
+from .results import ApplyResult
+from .results import EditResult
+from .results import EditVerdict
+from .results import RecordedResult
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import EditKey
+    from marjoramstep_core.ids import RequestKey
+    from marjoramstep_core.ids import TableVersion
+    from marjoramstep_core.table import Table
+
+    from .audit import AuditEntry
+    from .audit import AuditFault
+    from .audit import AuditFilter
+    from .commands import Command
+    from .quarantine import QuarantineEntry
+    from .results import ClaimResult
+    from .results import CommandResult
+
+SNAPSHOT_FORMAT = 1
+
+
+class StateMachine:
+    """Table, claims, quarantine counts and audit trail.
+
+    Deterministic: its state depends on the applied entries only. It has no clock; time
+    comes from the entries.
+
+    :param limits: bounds, equal on all replicas
+    """
+
+    def __init__(self, limits: StateLimits | None = None) -> None:
+        self._limits = limits or StateLimits()
+        self._applied_index = LogIndex(0)
+        self._watermark_ms = 0
+        self._invalid_count = 0
+        self._edits = EditBook(self._limits)
+        self._claims = ClaimStore(self._limits)
+        self._quarantine = QuarantineCounts(self._limits)
+        self._audit = AuditTrail(self._limits)
+
+    @property
+    def applied_index(self) -> LogIndex:
+        """Index of the last applied entry, 0 before any."""
+        return self._applied_index
+
+    @property
+    def watermark_ms(self) -> int:
+        """Highest log time applied, in Unix milliseconds; it only rises."""
+        return self._watermark_ms
+
+    @property
+    def invalid_count(self) -> int:
+        """Number of applied entries whose payload was not a valid command."""
+        return self._invalid_count
+
+    @property
+    def claim_count(self) -> int:
+        """Number of records of request keys."""
+        return len(self._claims)
+
+    @property
+    def answers_bytes(self) -> int:
+        """Size of all stored answers in bytes."""
+        return self._claims.answers_bytes
+
+    @property
+    def table(self) -> Table:
+        """The table in force."""
+        return self._edits.table
+
+    def table_version(self, version: TableVersion) -> Table | None:
+        """Return a recent version of the table.
+
+        :param version: the version
+        :return: the table, ``None`` if the version is not kept or does not exist
+        """
+        return self._edits.version(version)
+
+    def edit_verdict(self, edit_key: EditKey) -> EditResult | None:
+        """Return the first verdict of an edit key.
+
+        :param edit_key: the key
+        :return: the verdict, ``None`` if the key is unknown or its time is over
+        """
+        return self._edits.verdict(edit_key, self._watermark_ms)
+
+    def look_up_claim(self, key: RequestKey) -> ClaimResult:
+        """Return the state of a request key without a log entry.
+
+        :param key: the key
+        :return: the state as of the last applied entry
+        """
+        return self._claims.look_up(key, self._watermark_ms)
+
+    def quarantined(self) -> list[QuarantineEntry]:
+        """Return what is quarantined at the log time.
+
+        :return: entries ordered by service and fingerprint
+        """
+        return self._quarantine.entries(self._watermark_ms)
+
+    def audit_entries(
+        self, after: int = 0, limit: int = 100, audit_filter: AuditFilter | None = None
+    ) -> list[AuditEntry]:
+        """Return entries of the audit trail in order.
+
+        :param after: only entries with a higher sequence number
+        :param limit: largest number of entries
+        :param audit_filter: selects entries, all by default
+        :return: the entries
+        """
+        return self._audit.entries(after, limit, audit_filter)
+
+    def verify_audit(self) -> AuditFault | None:
+        """Check the whole audit trail.
+
+        :return: the first fault, ``None`` if there is none
+        """
+        return self._audit.verify()
+
+    def apply(self, index: LogIndex, payload: bytes) -> ApplyResult:
+        """Apply one committed entry.
+
+        A payload that is not a valid command changes nothing but a counter, so that
+        an entry written by a faulty leader cannot stop all replicas.
+
+        :param index: index of the entry, higher than the one applied before
+        :param payload: the command as JSON
+        :return: the result, or the fault of the payload
+        :raises ValueError: if the index is not higher than the one applied before
+        """
+        if index <= self._applied_index:
+            raise ValueError(f"entry {index} applied after {self._applied_index}")
+        self._applied_index = index
+        try:
+            command = decode_command(payload)
+        except InvalidCommandError as error:
+            self._invalid_count += 1
+            return ApplyResult(index, fault=error.message)
+        self._watermark_ms = max(self._watermark_ms, command.log_time_ms)
+        result = self._dispatch(command)
+        self._edits.prune(self._watermark_ms)
+        self._claims.prune(self._watermark_ms)
+        self._quarantine.prune(self._watermark_ms)
+        return ApplyResult(index, result)
+
+    def _dispatch(self, command: Command) -> CommandResult:
+        if isinstance(command, (Claim, EndClaim, LookUpClaim)):
+            return self._claims.apply(command, self._watermark_ms)
+        if isinstance(command, EditTable):
+            return self._apply_edit(command)
+        if isinstance(command, ReportCrash):
+            return self._quarantine.apply(command, self._watermark_ms)
+        if isinstance(command, RecordReplicaChange):
+            return self._record_change(command)
+        if isinstance(command, AdvanceTime):
+            return AdvanceResult(self._watermark_ms)
+        raise TypeError(f"no handler for command {command.kind!r}")
+
+    def _apply_edit(self, command: EditTable) -> EditResult:
+        before_table = self._edits.table
+        result, repeated = self._edits.apply(command, self._watermark_ms)
+        if repeated:
+            return result
+        before: dict[str, Any] = {"version": before_table.version}
+        after: dict[str, Any] = {"version": result.version}
+        if result.verdict is EditVerdict.ACCEPTED:
+            changes = diff_tables(before_table, self._edits.table)
+            before["cells"] = [[c.row, c.column, c.before] for c in changes]
+            after["cells"] = [[c.row, c.column, c.after] for c in changes]
+        else:
+            after["base_version"] = command.base_version
+            after["refused"] = [operation.to_json() for operation in command.operations]
+            after["faults"] = result.to_json()["faults"]
+            after["winner"] = result.to_json()["winner"]
+        after["edit_key"] = command.edit_key
+        self._audit.append(
+            time_ms=self._watermark_ms,
+            operator=command.operator,
+            origin=command.origin,
+            kind="edit",
+            verdict=result.verdict.value,
+            before=before,
+            after=after,
+        )
+        return result
+
+    def _record_change(self, command: RecordReplicaChange) -> RecordedResult:
+        after: dict[str, Any] = {
+            "replicas": list(command.after),
+            "action": command.action.value,
+            "replica_id": command.replica_id,
+            "detail": command.detail,
+        }
+        entry = self._audit.append(
+            time_ms=self._watermark_ms,
+            operator=command.operator,
+            origin=command.origin,
+            kind="replica",
+            verdict=command.verdict.value,
+            before={"replicas": list(command.before)},
+            after=after,
+        )
+        return RecordedResult(entry.sequence)
+
+    def snapshot(self) -> bytes:
+        """Write the whole state; equal states give equal bytes.
+
+        :return: JSON
+        """
+        document = {
+            "format": SNAPSHOT_FORMAT,
+            "applied_index": self._applied_index,
+            "watermark_ms": self._watermark_ms,
+            "invalid_count": self._invalid_count,
+            "edits": self._edits.to_json(),
+            "claims": self._claims.to_json(),
+            "quarantine": self._quarantine.to_json(),
+            "audit": self._audit.to_json(),
+        }
+        return orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state; on an error the state is left as it was.
+
+        :param data: as returned by :meth:`snapshot`
+        :raises InvalidSnapshotError: if the data is damaged or of another format
+        """
+        try:
+            document = orjson.loads(data)
+            fields = Fields(document)
+            if fields.integer("format") != SNAPSHOT_FORMAT:
+                raise InvalidSnapshotError(f"expected format {SNAPSHOT_FORMAT}")
+            applied_index = LogIndex(fields.integer("applied_index"))
+            watermark_ms = fields.integer("watermark_ms")
+            invalid_count = fields.integer("invalid_count")
+            edits = EditBook.from_json(document["edits"], self._limits)
+            claims = ClaimStore.from_json(document["claims"], self._limits)
+            quarantine = QuarantineCounts.from_json(
+                document["quarantine"], self._limits
+            )
+            audit = AuditTrail.from_json(document["audit"], self._limits)
+        except InvalidSnapshotError:
+            raise
+        except (
+            InvalidInputError,
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+        ) as error:
+            detail = str(error)[:200]
+            raise InvalidSnapshotError(f"damaged snapshot: {detail}") from error
+        self._applied_index = applied_index
+        self._watermark_ms = watermark_ms
+        self._invalid_count = invalid_count
+        self._edits, self._claims = edits, claims
+        self._quarantine, self._audit = quarantine, audit
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership registry of the replicas: soft state."""
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/membership/registry.py
@@ -0,0 +1,246 @@
+"""Members of services with leases, and their watchers."""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import math
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.ids import NodeId
+from marjoramstep_core.ids import ServerId
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.states import ServerState
+from marjoramstep_wire.messages import Member
+from marjoramstep_wire.messages import MemberUpdate
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_wire.messages import RegisterServer
+    from marjoramstep_wire.messages import WatchService
+
+# A lease from a faulty node must not keep a lost member for long.
+LEASE_LIMIT_MS = 60_000.0
+# Longer than a message can be under way, so that a late announcement of a member that
+# is gone cannot bring it back.
+GONE_MEMORY_MS = 120_000.0
+COMPARED_FIELDS = (
+    "node_id",
+    "service_name",
+    "address",
+    "zone",
+    "slots",
+    "connections",
+    "state",
+    "incarnation",
+)
+
+
+@dataclass(frozen=True)
+class MemberPush:
+    """A message to one watcher.
+
+    :param watcher: node that receives the message
+    :param update: the changes
+    """
+
+    watcher: NodeId
+    update: MemberUpdate
+
+
+@dataclass
+class _Entry:
+    """A member; ``order`` decides which of two announcements is newer.
+
+    ``until_ms`` is the end of the lease, or of the memory of a member that is gone;
+    ``due_ms`` is when it is checked next. Both are monotonic times.
+    """
+
+    member: Member
+    order: tuple[int, int]
+    until_ms: float
+    due_ms: float
+
+
+class MembershipRegistry:
+    """Soft state: after a restart the announcements fill it again.
+
+    :param clock: source of monotonic time
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: dict[ServerId, _Entry] = {}
+        self._by_service: dict[ServiceName, dict[ServerId, Member]] = {}
+        self._watchers: dict[ServiceName, set[NodeId]] = {}
+        self._watched: dict[NodeId, set[ServiceName]] = {}
+        self._expiry: list[tuple[float, ServerId]] = []
+
+    def register(self, message: RegisterServer) -> list[MemberPush]:
+        """Apply an announcement or heartbeat; an older one than known is ignored.
+
+        :param message: the announcement with its lease in milliseconds
+        :return: pushes to the watchers, empty if nothing changed but the lease
+        :raises InvalidInputError: if the state, an id or the lease is not valid
+        """
+        member = message.member
+        state = _check(message)
+        server_id = ServerId(member.server_id)
+        order = (member.incarnation, member.sequence)
+        known = self._entries.get(server_id)
+        if known is not None and order <= known.order:
+            return []
+        listed = known.member if known and _is_listed(known.member) else None
+        pushes = []
+        is_gone = state is ServerState.GONE
+        if listed and (is_gone or listed.service_name != member.service_name):
+            pushes = self._unlist(listed, order)
+            listed = None
+        self._put(member, order, GONE_MEMORY_MS if is_gone else message.lease_ms)
+        if is_gone:
+            return pushes
+        service = ServiceName(member.service_name)
+        self._by_service.setdefault(service, {})[server_id] = member
+        if listed and _same(listed, member):
+            return pushes
+        return pushes + self._push(service, [member])
+
+    def watch(self, watcher: NodeId, message: WatchService) -> MemberUpdate:
+        """Subscribe a node to a service.
+
+        :param watcher: the node
+        :param message: names the service
+        :return: the full list of members; changes follow as pushes
+        :raises InvalidInputError: if the service has no name
+        """
+        if not message.service_name:
+            raise InvalidInputError(
+                "expected the name of a service", step="watch service", peer=watcher
+            )
+        service = ServiceName(message.service_name)
+        self._watchers.setdefault(service, set()).add(watcher)
+        self._watched.setdefault(watcher, set()).add(service)
+        return MemberUpdate(
+            service_name=service, full=True, members=self.members(service)
+        )
+
+    def unwatch(self, watcher: NodeId) -> None:
+        """Remove all subscriptions of a node, as when its connection ends.
+
+        :param watcher: the node
+        """
+        for service in self._watched.pop(watcher, set()):
+            self._watchers[service].discard(watcher)
+            if not self._watchers[service]:
+                del self._watchers[service]
+
+    def tick(self) -> list[MemberPush]:
+        """Remove members whose lease is over.
+
+        :return: pushes to the watchers, with the state ``gone`` for each member and
+            the incarnation and sequence that it announced last
+        """
+        now_ms = self._clock.now_ms()
+        pushes: list[MemberPush] = []
+        while self._expiry and self._expiry[0][0] <= now_ms:
+            due_ms, server_id = heapq.heappop(self._expiry)
+            entry = self._entries.get(server_id)
+            if entry is None or entry.due_ms != due_ms:
+                continue  # replaced by an earlier time
+            if entry.until_ms > now_ms:
+                self._schedule(entry)
+            elif _is_listed(entry.member):
+                pushes += self._expire(entry)
+            else:
+                del self._entries[server_id]
+        return pushes
+
+    def next_expiry_ms(self) -> float | None:
+        """Return when :meth:`tick` may have something to do.
+
+        :return: monotonic time in milliseconds, ``None`` without any member
+        """
+        return self._expiry[0][0] if self._expiry else None
+
+    def members(self, service: ServiceName) -> list[Member]:
+        """Return the members of a service.
+
+        :param service: name of the service
+        :return: members ordered by id, draining ones included
+        """
+        listed = self._by_service.get(service, {})
+        return [listed[server_id] for server_id in sorted(listed)]
+
+    def services(self) -> list[ServiceName]:
+        """Return the names of all services that have a member, in order."""
+        return sorted(self._by_service)
+
+    def _put(self, member: Member, order: tuple[int, int], keep_ms: float) -> None:
+        server_id = ServerId(member.server_id)
+        until_ms = self._clock.now_ms() + keep_ms
+        known = self._entries.get(server_id)
+        entry = _Entry(member, order, until_ms, known.due_ms if known else math.inf)
+        self._entries[server_id] = entry
+        # A renewed lease is checked when its older time comes up, so that heartbeats
+        # do not let the heap grow.
+        if until_ms < entry.due_ms:
+            self._schedule(entry)
+
+    def _schedule(self, entry: _Entry) -> None:
+        entry.due_ms = entry.until_ms
+        heapq.heappush(self._expiry, (entry.due_ms, ServerId(entry.member.server_id)))
+
+    def _expire(self, entry: _Entry) -> list[MemberPush]:
+        pushes = self._unlist(entry.member, entry.order)
+        entry.member = copy.copy(entry.member)
+        entry.member.state = ServerState.GONE.value
+        entry.until_ms = self._clock.now_ms() + GONE_MEMORY_MS
+        self._schedule(entry)
+        return pushes
+
+    def _unlist(self, member: Member, order: tuple[int, int]) -> list[MemberPush]:
+        service = ServiceName(member.service_name)
+        listed = self._by_service[service]
+        del listed[ServerId(member.server_id)]
+        if not listed:
+            del self._by_service[service]
+        gone = copy.copy(member)
+        gone.state = ServerState.GONE.value
+        gone.incarnation, gone.sequence = order
+        return self._push(service, [gone])
+
+    def _push(self, service: ServiceName, members: list[Member]) -> list[MemberPush]:
+        update = MemberUpdate(service_name=service, full=False, members=members)
+        watchers = sorted(self._watchers.get(service, ()))
+        return [MemberPush(watcher, update) for watcher in watchers]
+
+
+def _check(message: RegisterServer) -> ServerState:
+    member = message.member
+    try:
+        state = ServerState(member.state)
+    except ValueError:
+        raise _fault(member, f"unknown state {member.state[:80]!r}") from None
+    if not member.server_id or not member.service_name:
+        raise _fault(member, "expected the id of a backend server and of its service")
+    lease_ms = message.lease_ms
+    if not math.isfinite(lease_ms) or not 0 < lease_ms <= LEASE_LIMIT_MS:
+        raise _fault(
+            member, f"expected a lease up to {LEASE_LIMIT_MS} ms, found {lease_ms}"
+        )
+    return state
+
+
+def _fault(member: Member, problem: str) -> InvalidInputError:
+    return InvalidInputError(problem, step="register server", peer=member.node_id)
+
+
+def _is_listed(member: Member) -> bool:
+    return bool(member.state != ServerState.GONE.value)
+
+
+def _same(one: Member, other: Member) -> bool:
+    return all(getattr(one, name) == getattr(other, name) for name in COMPARED_FIELDS)
--- /dev/null
+++ b/packages/state/src/marjoramstep_state/results.py
@@ -0,0 +1,187 @@
+"""Results of commands."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from enum import unique
+from typing import TYPE_CHECKING
+from typing import Any
+
+from marjoramstep_core.ids import EditKey
+from marjoramstep_core.ids import OperatorName
+from marjoramstep_core.ids import TableVersion
+from marjoramstep_core.table.row import CellFault
+
+from .fields import Fields
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import LogIndex
+
+    from .answer import AnswerRecord
+
+
+@unique
+class EditVerdict(Enum):
+    """Decision about an edit."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    CONFLICT = "conflict"
+
+
+@unique
+class ClaimVerdict(Enum):
+    """Answer to a command about a request key."""
+
+    GRANTED = "granted"
+    RUNNING = "running"
+    DONE = "done"
+    ABANDONED = "abandoned"
+    CLOSED = "closed"
+    NONE = "none"
+    RECORDED = "recorded"
+    NOT_HOLDER = "not-holder"
+    EXPIRED = "expired"
+    BAD_KEY = "bad-key"
+    KEY_REUSED = "key-reused"
+    UNAVAILABLE = "unavailable"
+
+
+@dataclass(frozen=True)
+class EditWinner:
+    """The accepted edit that made a version.
+
+    :param edit_key: key of the edit
+    :param operator: who edited
+    :param version: the version that it made
+    :param time_ms: log time in Unix milliseconds
+    """
+
+    edit_key: EditKey
+    operator: OperatorName
+    version: TableVersion
+    time_ms: int
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return dict(vars(self))
+
+    @classmethod
+    def from_json(cls, document: Any) -> EditWinner:
+        """Build the winner; raises :class:`InvalidCommandError`."""
+        fields = Fields(document)
+        return cls(
+            EditKey(fields.edit_key("edit_key")),
+            OperatorName(fields.name("operator")),
+            TableVersion(fields.integer("version")),
+            fields.integer("time_ms"),
+        )
+
+
+@dataclass(frozen=True)
+class EditResult:
+    """Verdict of an edit.
+
+    :param verdict: the decision
+    :param version: version of the table after the edit was decided
+    :param faults: every faulty cell of a refused edit
+    :param winner: the edit that won a conflict, when it is still known
+    """
+
+    verdict: EditVerdict
+    version: TableVersion
+    faults: tuple[CellFault, ...] = ()
+    winner: EditWinner | None = None
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the body of the answer to an operator."""
+        return {
+            "verdict": self.verdict.value,
+            "version": self.version,
+            "faults": [dict(vars(fault)) for fault in self.faults],
+            "winner": self.winner.to_json() if self.winner else None,
+        }
+
+    @classmethod
+    def from_json(cls, document: Any) -> EditResult:
+        """Build the result; raises :class:`InvalidCommandError` or `ValueError`."""
+        fields = Fields(document)
+        winner = fields.value("winner")
+        faults = map(Fields, fields.items("faults"))
+        return cls(
+            EditVerdict(fields.text("verdict")),
+            TableVersion(fields.integer("version")),
+            tuple(
+                CellFault(*(f.text(n) for n in ("row", "column", "value", "problem")))
+                for f in faults
+            ),
+            None if winner is None else EditWinner.from_json(winner),
+        )
+
+
+@dataclass(frozen=True)
+class ClaimResult:
+    """Answer to a command about a request key.
+
+    :param verdict: the answer; ``EXPIRED`` says that the key cannot be claimed any
+        more, not that it never ran
+    :param detail: why a key was refused, else empty
+    :param answer: the stored answer of a key that is done
+    """
+
+    verdict: ClaimVerdict
+    detail: str = ""
+    answer: AnswerRecord | None = None
+
+
+@dataclass(frozen=True)
+class CrashResult:
+    """State of a fingerprint after a report.
+
+    :param reports: different reports that count
+    :param remaining_ms: rest of the quarantine in milliseconds of log time, 0 if the
+        fingerprint is not quarantined
+    """
+
+    reports: int
+    remaining_ms: int
+
+
+@dataclass(frozen=True)
+class RecordedResult:
+    """An entry of the audit trail was written.
+
+    :param sequence: its sequence number
+    """
+
+    sequence: int
+
+
+@dataclass(frozen=True)
+class AdvanceResult:
+    """The log time was applied.
+
+    :param log_time_ms: the watermark in Unix milliseconds
+    """
+
+    log_time_ms: int
+
+
+CommandResult = EditResult | ClaimResult | CrashResult | RecordedResult | AdvanceResult
+
+
+@dataclass(frozen=True)
+class ApplyResult:
+    """Result of one log entry.
+
+    :param index: index of the entry
+    :param result: result of the command, ``None`` if the payload was not valid
+    :param fault: why the payload was not valid, else empty
+    """
+
+    index: LogIndex
+    result: CommandResult | None = None
+    fault: str = field(default="")
