--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/data_folder.py
@@ -0,0 +1,343 @@
+"""Durable state of one replica in one folder."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import json
+import secrets
+import struct
+import zlib
+from typing import TYPE_CHECKING
+from typing import NoReturn
+
+from marjoramstep_core.errors import MarjoramstepError
+from marjoramstep_core.ids import ReplicaId
+
+from .entry import Snapshot
+from .membership import Membership
+from .records import Record
+from .records import decode_records
+from .records import encode_record
+from .records import merge_entries
+from .replica_log import EMPTY_SNAPSHOT
+from .replica_state import StoredState
+from .storage_errors import DiskFullError
+from .storage_errors import FolderLockedError
+from .storage_errors import FolderNotEmptyError
+from .storage_errors import FolderReadOnlyError
+from .storage_errors import StorageError
+from .storage_errors import StoredDataDamagedError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from .effects import Persist
+    from .file_layer import FileLayer
+
+LOCK_NAME = "lock"
+IDENTITY_NAME = "identity.json"
+LOG_NAME = "log"
+SNAPSHOT_NAME = "snapshot"
+TEMPORARY_SUFFIX = ".tmp"
+FORMAT_VERSION = 1
+ID_SUFFIX_BYTES = 6
+_SNAPSHOT_HEADER = struct.Struct("!4sIqqI")
+_SNAPSHOT_MAGIC = b"MSSN"
+_READ_ONLY_ERRORS = frozenset({errno.EROFS, errno.EACCES, errno.EPERM})
+_FULL_ERRORS = frozenset({errno.ENOSPC, errno.EDQUOT})
+
+
+def make_replica_id(name: str) -> ReplicaId:
+    """Return an id that no replica had before.
+
+    :param name: readable start of the id, such as the configured process id
+    :return: the name with a random suffix
+    """
+    return ReplicaId(f"{name}-{secrets.token_hex(ID_SUFFIX_BYTES)}")
+
+
+class DataFolder:
+    """Identity, vote, log and snapshot of one replica.
+
+    An empty folder has no identity. :meth:`create` gives it one, which must be new
+    (:func:`make_replica_id`): a replica that lost its data must not vote under its old
+    identity. Only the first start of a deployment passes the first membership, and only
+    when every initial replica is known to have an empty folder.
+
+    Use: open, ``create`` if :attr:`is_empty`, :meth:`load` once, then :meth:`persist`
+    for each ``Persist`` effect. The methods block on the disk.
+
+    :param files: file operations
+    :param label: path of the folder, for errors
+    :raises FolderLockedError: if another process uses the folder
+    :raises FolderReadOnlyError: if it cannot be written
+    :raises StoredDataDamagedError: if there is data without an identity
+    """
+
+    def __init__(self, files: FileLayer, label: str) -> None:
+        self._files = files
+        self._label = label
+        self._identity: tuple[ReplicaId, Membership] | None = None
+        self._log_bytes = 0
+        self._log_records = 0
+        self._failed = False
+        self.truncated_bytes = 0
+        with self._errors("lock data folder"):
+            try:
+                files.lock(LOCK_NAME)
+            except BlockingIOError as error:
+                raise FolderLockedError(
+                    "another process uses the data folder",
+                    step="lock data folder",
+                    peer=label,
+                ) from error
+        try:
+            self._read_identity()
+        except BaseException:
+            files.close()
+            raise
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether the folder has no identity yet."""
+        return self._identity is None
+
+    @property
+    def replica_id(self) -> ReplicaId:
+        """Return the identity.
+
+        :raises StorageError: if the folder is empty
+        """
+        return self._require_identity()[0]
+
+    def create(
+        self, replica_id: ReplicaId, first_membership: Membership | None = None
+    ) -> None:
+        """Give an empty folder its identity.
+
+        :param replica_id: a new id
+        :param first_membership: voters of a new deployment, the same at each of them
+        :raises FolderNotEmptyError: if the folder has an identity
+        """
+        if self._identity is not None:
+            raise FolderNotEmptyError(
+                f"the folder belongs to {self._identity[0]}",
+                step="create identity",
+                peer=self._label,
+            )
+        membership = first_membership or Membership()
+        document = {
+            "format_version": FORMAT_VERSION,
+            "replica_id": replica_id,
+            "first_membership": membership.to_bytes().decode(),
+        }
+        with self._errors("create identity"):
+            self._write_durably(LOG_NAME, encode_record(0, Record(0, None, ())))
+            self._write_durably(IDENTITY_NAME, json.dumps(document).encode())
+        self._identity = (replica_id, membership)
+
+    def load(self) -> StoredState:
+        """Read vote, log and snapshot; cut a torn last record off.
+
+        The number of bytes cut off is then in :attr:`truncated_bytes`; they were never
+        reported as durable.
+
+        :return: the stored state
+        :raises StoredDataDamagedError: if the data is damaged or a file is missing
+        """
+        _, first_membership = self._require_identity()
+        with self._errors("load data folder"):
+            names = self._files.names()
+            snapshot = EMPTY_SNAPSHOT
+            if SNAPSHOT_NAME in names:
+                snapshot = self._decode_snapshot(self._files.read(SNAPSHOT_NAME))
+            elif first_membership.voters:
+                snapshot = Snapshot(0, 0, 0, first_membership, b"")
+            data = self._files.read(LOG_NAME) if LOG_NAME in names else b""
+            records, end = decode_records(data, self._label)
+            if not records:
+                raise self._damaged("the log is missing or holds no whole record")
+            if end < len(data):
+                self._files.truncate(LOG_NAME, end)
+                self._files.sync(LOG_NAME)
+        self.truncated_bytes = len(data) - end
+        self._log_bytes, self._log_records = end, len(records)
+        entries = merge_entries(
+            records, snapshot.last_index, snapshot.last_term, self._label
+        )
+        return StoredState(records[-1].term, records[-1].voted_for, snapshot, entries)
+
+    def persist(self, write: Persist) -> None:
+        """Make a write durable.
+
+        After a :class:`DiskFullError` the same write may be tried again. After any
+        other error the folder must be opened anew.
+
+        :param write: the effect
+        :raises DiskFullError: if the disk is full
+        :raises FolderReadOnlyError: if the folder cannot be written
+        :raises StorageError: if the write fails otherwise
+        """
+        if self._failed:
+            raise StorageError(
+                "an earlier write failed, so it is not known what is durable; restart",
+                step="persist",
+                peer=self._label,
+            )
+        record = Record(write.term, write.voted_for, write.entries)
+        if write.snapshot is not None:
+            self._store_snapshot(write.snapshot, record, reset_log=write.reset_log)
+        else:
+            self._append(record)
+
+    def close(self) -> None:
+        """Give up the lock."""
+        self._files.close()
+
+    def _append(self, record: Record) -> None:
+        data = encode_record(self._log_records, record)
+        with self._errors("append to log"):
+            try:
+                self._files.append(LOG_NAME, data)
+            except OSError:
+                # A part may be written. It must not stay in front of later records.
+                self._failed = True
+                self._files.truncate(LOG_NAME, self._log_bytes)
+                self._failed = False
+                raise
+        self._sync_log()
+        self._log_bytes += len(data)
+        self._log_records += 1
+
+    def _sync_log(self) -> None:
+        # After a failed sync the kernel may have dropped the bytes, so a second sync
+        # that succeeds proves nothing.
+        self._failed = True
+        with self._errors("sync log"):
+            self._files.sync(LOG_NAME)
+        self._failed = False
+
+    def _store_snapshot(
+        self, snapshot: Snapshot, record: Record, *, reset_log: bool
+    ) -> None:
+        """Store a snapshot, then a new log that starts after it."""
+        with self._errors("store snapshot"):
+            kept: tuple[Record, ...] = (record,)
+            if not reset_log:
+                old, _ = decode_records(self._files.read(LOG_NAME), self._label)
+                kept = (*old, record)
+            index, term = snapshot.last_index, snapshot.last_term
+            entries = merge_entries(kept, index, term, self._label)
+            compacted = Record(record.term, record.voted_for, entries)
+            data = encode_record(0, compacted)
+            self._write_durably(SNAPSHOT_NAME, self._encode_snapshot(snapshot))
+            self._write_durably(LOG_NAME, data)
+        self._log_bytes, self._log_records = len(data), 1
+
+    def _write_durably(self, name: str, data: bytes) -> None:
+        """Replace a file so that a crash leaves the old or the new content."""
+        temporary = name + TEMPORARY_SUFFIX
+        try:
+            self._files.write(temporary, data)
+        except OSError:
+            with contextlib.suppress(OSError):
+                self._files.remove(temporary)
+            raise
+        self._failed = True
+        self._files.sync(temporary)
+        self._files.replace(temporary, name)
+        self._files.sync_folder()
+        self._failed = False
+
+    def _read_identity(self) -> None:
+        with self._errors("read identity"):
+            names = self._files.names()
+            if IDENTITY_NAME in names:
+                self._identity = self._decode_identity(self._files.read(IDENTITY_NAME))
+                return
+            used = SNAPSHOT_NAME in names
+            if LOG_NAME in names:
+                records, _ = decode_records(self._files.read(LOG_NAME), self._label)
+                used = used or any(r.term or r.entries for r in records)
+        if used:
+            raise self._damaged("there is a log or a snapshot but no identity")
+
+    def _decode_identity(self, data: bytes) -> tuple[ReplicaId, Membership]:
+        try:
+            document = json.loads(data)
+            if document["format_version"] != FORMAT_VERSION:
+                raise ValueError(f"format version {document['format_version']}")
+            encoded = document["first_membership"].encode()
+            membership, _ = Membership.from_bytes(encoded, self._label)
+            return ReplicaId(str(document["replica_id"])), membership
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            MarjoramstepError,
+        ) as error:
+            raise self._damaged(f"{IDENTITY_NAME} is not valid: {error}") from error
+
+    def _encode_snapshot(self, snapshot: Snapshot) -> bytes:
+        membership = snapshot.membership.to_bytes(snapshot.time_ms)
+        body = membership + snapshot.data
+        size = len(membership)
+        index, term = snapshot.last_index, snapshot.last_term
+        # The checksum covers the header's numbers as well as the body.
+        numbers = _SNAPSHOT_HEADER.pack(_SNAPSHOT_MAGIC, 0, index, term, size)
+        crc = zlib.crc32(body, zlib.crc32(numbers))
+        return _SNAPSHOT_HEADER.pack(_SNAPSHOT_MAGIC, crc, index, term, size) + body
+
+    def _decode_snapshot(self, data: bytes) -> Snapshot:
+        if len(data) < _SNAPSHOT_HEADER.size:
+            raise self._damaged("the snapshot is too short")
+        magic, crc, index, term, size = _SNAPSHOT_HEADER.unpack_from(data)
+        body = data[_SNAPSHOT_HEADER.size :]
+        numbers = _SNAPSHOT_HEADER.pack(magic, 0, index, term, size)
+        if magic != _SNAPSHOT_MAGIC or zlib.crc32(body, zlib.crc32(numbers)) != crc:
+            raise self._damaged("the snapshot's checksum is wrong")
+        membership, time_ms = Membership.from_bytes(body[:size], self._label)
+        return Snapshot(index, term, time_ms, membership, body[size:])
+
+    def _require_identity(self) -> tuple[ReplicaId, Membership]:
+        if self._identity is None:
+            raise StorageError(
+                "the data folder has no identity yet",
+                step="read identity",
+                peer=self._label,
+            )
+        return self._identity
+
+    def _damaged(self, message: str) -> StoredDataDamagedError:
+        return StoredDataDamagedError(
+            f"{message}; remove this replica from the deployment, move its data folder"
+            " away and admit a new one",
+            step="read data folder",
+            peer=self._label,
+        )
+
+    @contextlib.contextmanager
+    def _errors(self, step: str) -> Iterator[None]:
+        try:
+            yield
+        except OSError as error:
+            self._raise(step, error)
+
+    def _raise(self, step: str, error: OSError) -> NoReturn:
+        cause = error.strerror or str(error)
+        if error.errno in _FULL_ERRORS:
+            raise DiskFullError(
+                f"the disk is full: {cause}", step=step, peer=self._label
+            ) from error
+        if error.errno in _READ_ONLY_ERRORS:
+            raise FolderReadOnlyError(
+                f"the data folder cannot be written: {cause}",
+                step=step,
+                peer=self._label,
+            ) from error
+        raise StorageError(
+            f"file operation failed: {cause}", step=step, peer=self._label
+        ) from error
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/election.py
@@ -0,0 +1,140 @@
+"""Pre-vote, vote and the counting of votes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.ids import ReplicaId
+from marjoramstep_wire.messages import VoteReply
+from marjoramstep_wire.messages import VoteRequest
+
+from .effects import Role
+
+
+if TYPE_CHECKING:
+    from .replica_state import ReplicaState
+
+
+class Election:
+    """Asks for votes and grants them.
+
+    A pre-vote changes nothing at either side. It keeps a replica that was cut off from
+    raising the term and so ending the work of a healthy leader.
+
+    :param state: state of the replica
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+        self._granted: set[ReplicaId] = set()
+
+    def tick(self) -> None:
+        """Start a pre-vote when no leader was heard for an election time-out."""
+        state = self._state
+        if state.role is Role.LEADER:
+            return
+        if state.clock.now_ms() < state.election_deadline_ms:
+            return
+        state.reset_election_deadline()
+        if state.replica_id not in state.log.membership.voters:
+            state.become_follower(state.term, None)
+            return
+        state.role = Role.PRE_CANDIDATE
+        state.leader_id = None
+        self._ask(state.term + 1, pre_vote=True)
+
+    def has_won(self) -> bool:
+        """Tell whether this candidate has a quorum, its own durable vote included."""
+        state = self._state
+        return (
+            state.role is Role.CANDIDATE
+            and state.outbox.synced_term == state.term
+            and state.log.membership.has_quorum(self._granted)
+        )
+
+    def receive_request(self, request: VoteRequest) -> None:
+        """Answer a request for a vote or a pre-vote.
+
+        :param request: the message
+        """
+        state = self._state
+        if request.pre_vote:
+            granted = request.term > state.term and not state.leader_is_recent()
+            granted = granted and self._may_elect(request)
+            term = request.term if granted else state.term
+        else:
+            if request.term > state.term:
+                state.become_follower(request.term, None)
+            free = state.voted_for in (None, request.candidate_id)
+            granted = request.term == state.term and free and self._may_elect(request)
+            if granted and state.voted_for is None:
+                state.voted_for = ReplicaId(request.candidate_id)
+                state.outbox.vote_changed()
+            if granted:
+                state.reset_election_deadline()
+            term = state.term
+        reply = VoteReply(
+            term=term,
+            voter_id=state.replica_id,
+            granted=granted,
+            pre_vote=request.pre_vote,
+        )
+        state.outbox.promise(ReplicaId(request.candidate_id), reply)
+
+    def receive_reply(self, reply: VoteReply) -> None:
+        """Count a vote.
+
+        :param reply: the message
+        """
+        state = self._state
+        if reply.term > state.term and not (reply.pre_vote and reply.granted):
+            state.become_follower(reply.term, None)
+            return
+        if not reply.granted:
+            return
+        voter = ReplicaId(reply.voter_id)
+        membership = state.log.membership
+        if reply.pre_vote:
+            if state.role is Role.PRE_CANDIDATE and reply.term == state.term + 1:
+                self._granted.add(voter)
+                if membership.has_quorum(self._granted):
+                    self._campaign()
+        elif state.role is Role.CANDIDATE and reply.term == state.term:
+            self._granted.add(voter)
+
+    def _campaign(self) -> None:
+        state = self._state
+        state.become_follower(state.term + 1, None)
+        state.role = Role.CANDIDATE
+        state.voted_for = state.replica_id
+        state.outbox.vote_changed()
+        state.reset_election_deadline()
+        self._ask(state.term, pre_vote=False)
+
+    def _ask(self, term: int, *, pre_vote: bool) -> None:
+        state = self._state
+        self._granted = {state.replica_id}
+        request = VoteRequest(
+            term=term,
+            candidate_id=state.replica_id,
+            last_index=state.log.last_index,
+            last_term=state.log.last_term,
+            pre_vote=pre_vote,
+        )
+        for voter in state.log.membership.voters:
+            if voter != state.replica_id:
+                state.outbox.promise(voter, request)
+        if pre_vote and state.log.membership.has_quorum(self._granted):
+            self._campaign()
+
+    def _may_elect(self, request: VoteRequest) -> bool:
+        """Tell whether this replica may vote for a log like the candidate's.
+
+        A replica that was never admitted knows no members and does not vote.
+        """
+        log = self._state.log
+        candidate = (request.last_term, request.last_index)
+        return bool(log.membership.voters) and candidate >= (
+            log.last_term,
+            log.last_index,
+        )
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/entry.py
@@ -0,0 +1,94 @@
+"""Log entries, snapshots and their form on the wire and on disk."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import ProtocolError
+from marjoramstep_wire.messages import LogEntry
+
+
+if TYPE_CHECKING:
+    from .membership import Membership
+
+# The payload of a wire entry starts with the log time: the message has no field for it.
+_TIME = struct.Struct("!q")
+
+
+class EntryKind(Enum):
+    """What an entry holds."""
+
+    NORMAL = "normal"
+    MEMBERSHIP = "membership"
+    NOOP = "noop"
+
+
+@dataclass(frozen=True)
+class Entry:
+    """One entry of the replicated log.
+
+    :param index: position in the log, from 1
+    :param term: term of the leader that made the entry
+    :param kind: what the payload holds
+    :param time_ms: log time in Unix milliseconds; never below the entry before
+    :param payload: opaque bytes, or a membership
+    """
+
+    index: int
+    term: int
+    kind: EntryKind
+    time_ms: int
+    payload: bytes
+
+    def to_wire(self) -> LogEntry:
+        """Return the entry as a message part.
+
+        :return: the thrift struct
+        """
+        return LogEntry(
+            index=self.index,
+            term=self.term,
+            kind=self.kind.value,
+            payload=_TIME.pack(self.time_ms) + self.payload,
+        )
+
+    @classmethod
+    def from_wire(cls, wire: LogEntry, peer: str) -> Entry:
+        """Build an entry from a message part.
+
+        :param wire: the thrift struct
+        :param peer: who sent it, for the error
+        :return: the entry
+        :raises ProtocolError: if the kind is unknown or the log time is missing
+        """
+        try:
+            kind = EntryKind(wire.kind)
+            (time_ms,) = _TIME.unpack_from(wire.payload)
+        except (ValueError, struct.error) as error:
+            raise ProtocolError(
+                f"log entry {wire.index} is not valid: {error}",
+                step="decode log entry",
+                peer=peer,
+            ) from error
+        return cls(wire.index, wire.term, kind, time_ms, wire.payload[_TIME.size :])
+
+
+@dataclass(frozen=True)
+class Snapshot:
+    """State of the replicated state machine after an entry.
+
+    :param last_index: index of the last entry that the state includes
+    :param last_term: term of that entry
+    :param time_ms: log time of that entry in Unix milliseconds
+    :param membership: latest membership up to that entry
+    :param data: what the state machine returned
+    """
+
+    last_index: int
+    last_term: int
+    time_ms: int
+    membership: Membership
+    data: bytes
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/leadership.py
@@ -0,0 +1,301 @@
+"""Leader's side of replication, for one term."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.errors import UnavailableError
+from marjoramstep_core.ids import ReplicaId
+
+from .effects import Proposed
+from .effects import Role
+from .entry import Entry
+from .entry import EntryKind
+from .progress import Progress
+from .reads import PendingReads
+from .sender import Sender
+
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+    from collections.abc import Sequence
+
+    from marjoramstep_wire.messages import AppendReply
+    from marjoramstep_wire.messages import SnapshotReply
+
+    from .membership import Membership
+    from .replica_state import ReplicaState
+
+
+class ChangeRefusedError(UnavailableError):
+    """A membership change cannot start now, or makes no sense."""
+
+
+class Leadership:
+    """Replicates entries, commits them, and changes the membership.
+
+    :param state: state of the replica that has just won the election of its term
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+        self._sender = Sender(state)
+        self._peers: dict[ReplicaId, Progress] = {}
+        self._round_id = 0
+        self._round_sent_ms: dict[int, float] = {}
+        self._reads = PendingReads(state)
+        self._next_heartbeat_ms = 0.0
+        state.role = Role.LEADER
+        state.leader_id = state.replica_id
+        self._start_round()
+        # Entries of earlier terms commit only together with one of this term.
+        self.term_start_index = self._append(EntryKind.NOOP, (b"",))
+
+    @property
+    def peers(self) -> Mapping[ReplicaId, Progress]:
+        """Return what is known of the other members."""
+        return self._peers
+
+    @property
+    def next_heartbeat_ms(self) -> float:
+        """Return the monotonic time of the next heartbeat."""
+        return self._next_heartbeat_ms
+
+    def quorum_contact_ms(self) -> float:
+        """Return when the newest round that a quorum answered was sent.
+
+        :return: monotonic milliseconds; at that time this replica led the term
+        """
+        times = {peer: p.acked_ms for peer, p in self._peers.items()}
+        times[self._state.replica_id] = self._state.clock.now_ms()
+        return self._state.log.membership.quorum_value(times)
+
+    def tick(self) -> None:
+        """Send heartbeats, or step down when no quorum answers."""
+        state = self._state
+        now_ms = state.clock.now_ms()
+        if now_ms - self.quorum_contact_ms() >= state.timing.election_min_ms:
+            self._step_down()
+        elif now_ms >= self._next_heartbeat_ms:
+            self._start_round()
+
+    def propose(self, payloads: Sequence[bytes]) -> None:
+        """Append payloads; each gets a :class:`Proposed` effect.
+
+        :param payloads: opaque bytes
+        :raises InvalidInputError: if one is too long; then none is appended
+        """
+        limit = self._state.limits.payload_bytes
+        for payload in payloads:
+            if len(payload) > limit:
+                raise InvalidInputError(
+                    f"a proposal of {len(payload)} bytes is longer than {limit}",
+                    step="propose",
+                )
+        last = self._append(EntryKind.NORMAL, payloads)
+        for index in range(last - len(payloads) + 1, last + 1):
+            self._state.outbox.emit(Proposed(index, self._state.term))
+
+    def request_read(self, read_id: int) -> None:
+        """Start to confirm a read; several reads share a round.
+
+        :param read_id: caller's number
+        """
+        state = self._state
+        index = max(state.commit_index, self.term_start_index)
+        if self._reads.newest_round > self._confirmed_round():
+            # The round under way began before this read; the next one confirms it.
+            self._reads.add(read_id, self._round_id + 1, index)
+            return
+        self._reads.add(read_id, self._round_id + 1, index)
+        self._start_round()
+        self.advance()
+
+    def change(self, membership: Membership) -> None:
+        """Append a membership that differs by one replica.
+
+        :param membership: the new membership
+        :raises ChangeRefusedError: while another change or the start of the term is
+            not committed, or if no voter would be left
+        """
+        state = self._state
+        open_index = max(state.log.membership_index, self.term_start_index)
+        if open_index > state.commit_index:
+            raise ChangeRefusedError(
+                f"entry {open_index} must be committed first", step="change membership"
+            )
+        if not membership.voters:
+            raise ChangeRefusedError(
+                "the last voter cannot be removed", step="change membership"
+            )
+        index = self._append(EntryKind.MEMBERSHIP, (membership.to_bytes(),))
+        self._state.outbox.emit(Proposed(index, state.term))
+
+    def receive_append_reply(self, reply: AppendReply) -> None:
+        """Note what a member has stored.
+
+        :param reply: the message, of this term
+        """
+        peer = ReplicaId(reply.follower_id)
+        progress = self._peers.get(peer)
+        if progress is None:
+            return
+        self._record_round(progress, reply.round_id)
+        if reply.success:
+            progress.record_match(reply.match_index)
+            if progress.match_index >= progress.snapshot_index:
+                progress.snapshot_index = progress.snapshot_offset_bytes = 0
+        else:
+            progress.record_mismatch(reply.hint_index)
+        self.advance()
+        self._promote_if_caught_up(peer, progress)
+        self._send_to(peer, progress)
+
+    def receive_snapshot_reply(self, reply: SnapshotReply) -> None:
+        """Note how much of the snapshot a member has.
+
+        :param reply: the message, of this term
+        """
+        peer = ReplicaId(reply.follower_id)
+        progress = self._peers.get(peer)
+        if progress is None or reply.last_index != progress.snapshot_index:
+            return
+        size = len(self._state.log.snapshot.data)
+        if not reply.accepted or not 0 <= reply.offset_bytes <= size:
+            return
+        progress.sent_last_index = 0
+        progress.snapshot_offset_bytes = reply.offset_bytes
+        if reply.offset_bytes == size and self._snapshot_is_complete(reply):
+            progress.end_snapshot()
+            progress.record_match(reply.last_index)
+        self._send_to(peer, progress)
+
+    def _snapshot_is_complete(self, reply: SnapshotReply) -> bool:
+        return reply.last_index == self._state.log.snapshot.last_index
+
+    def advance(self) -> None:
+        """Commit what a quorum has stored, and release reads."""
+        state = self._state
+        matches: dict[ReplicaId, float] = {
+            peer: progress.match_index for peer, progress in self._peers.items()
+        }
+        matches[state.replica_id] = state.outbox.synced_index
+        index = state.log.membership.quorum_value(matches)
+        if index > state.commit_index and self._may_commit(int(index)):
+            state.advance_commit(int(index))
+        else:
+            state.advance_commit(state.commit_index)
+        confirmed = self._confirmed_round()
+        self._reads.release(confirmed)
+        if self._reads.newest_round > self._round_id <= confirmed:
+            self._start_round()
+        if self._is_removed():
+            self._step_down()
+
+    def end(self) -> None:
+        """Report the waiting reads as failed when the leadership is over."""
+        self._reads.fail()
+
+    def _may_commit(self, index: int) -> bool:
+        """Tell whether an index may be committed by counting replicas.
+
+        An entry of an earlier term on a majority can still be overwritten by a later
+        leader, so only entries of the own term count.
+        """
+        return self._state.log.term_at(index) == self._state.term
+
+    def _is_removed(self) -> bool:
+        log = self._state.log
+        committed = log.membership_index <= self._state.commit_index
+        return committed and self._state.replica_id not in log.membership.voters
+
+    def _append(self, kind: EntryKind, payloads: Sequence[bytes]) -> int:
+        state = self._state
+        log = state.log
+        # The log time never goes down, whatever the wall clock of a new leader says.
+        time_ms = max(state.clock.wall_ms(), log.last_time_ms)
+        first = log.last_index + 1
+        entries = [
+            Entry(first + offset, state.term, kind, time_ms, payload)
+            for offset, payload in enumerate(payloads)
+        ]
+        log.append(entries)
+        if entries:
+            state.outbox.entries_changed(first)
+        self._update_peers()
+        for peer, progress in self._peers.items():
+            self._send_to(peer, progress)
+        return log.last_index
+
+    def _update_peers(self) -> None:
+        state = self._state
+        members = state.log.membership.members
+        for gone in set(self._peers) - set(members):
+            del self._peers[gone]
+        for peer in members:
+            if peer != state.replica_id and peer not in self._peers:
+                now_ms = state.clock.now_ms()
+                self._peers[peer] = Progress(state.log.last_index, now_ms)
+
+    def _send_to(self, peer: ReplicaId, progress: Progress) -> None:
+        if self._state.role is Role.LEADER:
+            self._sender.send_next(peer, progress, self._round_id, heartbeat=False)
+
+    def _start_round(self) -> None:
+        state = self._state
+        now_ms = state.clock.now_ms()
+        self._round_id += 1
+        self._round_sent_ms[self._round_id] = now_ms
+        oldest_ms = now_ms - 2 * state.timing.election_max_ms
+        for round_id in list(self._round_sent_ms):
+            if self._round_sent_ms[round_id] >= oldest_ms:
+                break
+            del self._round_sent_ms[round_id]
+        self._next_heartbeat_ms = now_ms + state.timing.heartbeat_ms
+        for peer, progress in self._peers.items():
+            self._sender.send_next(peer, progress, self._round_id, heartbeat=True)
+
+    def _record_round(self, progress: Progress, round_id: int) -> None:
+        progress.acked_round = max(progress.acked_round, round_id)
+        sent_ms = self._round_sent_ms.get(round_id)
+        if sent_ms is not None:
+            progress.acked_ms = max(progress.acked_ms, sent_ms)
+
+    def _confirmed_round(self) -> float:
+        rounds: dict[ReplicaId, float] = {
+            peer: progress.acked_round for peer, progress in self._peers.items()
+        }
+        rounds[self._state.replica_id] = self._round_id
+        return self._state.log.membership.quorum_value(rounds)
+
+    def _promote_if_caught_up(self, peer: ReplicaId, progress: Progress) -> None:
+        """Make a learner a voter once it has kept up for one round.
+
+        A round ends when the learner has all that the log held at the round's start.
+        One that lasts an election time-out or longer shows that the learner would hold
+        up commits, so another one follows.
+        """
+        state = self._state
+        membership = state.log.membership
+        if state.role is not Role.LEADER or peer not in membership.learners:
+            return
+        now_ms = state.clock.now_ms()
+        if progress.match_index >= progress.catch_up_target > 0:
+            lasted_ms = now_ms - progress.catch_up_start_ms
+            open_index = max(state.log.membership_index, self.term_start_index)
+            if (
+                lasted_ms < state.timing.election_min_ms
+                and open_index <= state.commit_index
+            ):
+                self.change(membership.with_promoted(peer))
+                return
+        elif progress.catch_up_target:
+            return
+        progress.catch_up_target = state.log.last_index
+        progress.catch_up_start_ms = now_ms
+
+    def _step_down(self) -> None:
+        state = self._state
+        state.become_follower(state.term, None)
+        state.reset_election_deadline()
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/membership.py
@@ -0,0 +1,109 @@
+"""Members of the replicated log."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import ProtocolError
+from marjoramstep_core.ids import ReplicaId
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from collections.abc import Mapping
+
+
+@dataclass(frozen=True)
+class Membership:
+    """Replicas with a vote, and learners that receive the log without a vote.
+
+    :param voters: address ``ip:port`` of each replica whose vote counts
+    :param learners: address of each replica that is catching up
+    """
+
+    voters: Mapping[ReplicaId, str] = field(default_factory=dict)
+    learners: Mapping[ReplicaId, str] = field(default_factory=dict)
+
+    @property
+    def members(self) -> dict[ReplicaId, str]:
+        """Return voters and learners with their addresses."""
+        return {**self.voters, **self.learners}
+
+    @property
+    def quorum(self) -> int:
+        """Return the number of voters that make a majority."""
+        return len(self.voters) // 2 + 1
+
+    def has_quorum(self, replicas: Iterable[ReplicaId]) -> bool:
+        """Tell whether replicas hold a majority of the votes.
+
+        :param replicas: ids; those without a vote are not counted
+        :return: whether the voters among them are a majority
+        """
+        count = len(set(replicas) & set(self.voters))
+        return bool(self.voters) and count >= self.quorum
+
+    def quorum_value(self, values: Mapping[ReplicaId, float]) -> float:
+        """Return the highest value that a majority of the voters has reached.
+
+        :param values: value of each voter; a missing voter has not reached any
+        :return: the value, or minus infinity
+        """
+        low = float("-inf")
+        ordered = sorted((values.get(v, low) for v in self.voters), reverse=True)
+        return ordered[self.quorum - 1] if ordered else low
+
+    def with_learner(self, replica_id: ReplicaId, address: str) -> Membership:
+        """Return the membership with one more learner."""
+        return Membership(self.voters, {**self.learners, replica_id: address})
+
+    def with_promoted(self, replica_id: ReplicaId) -> Membership:
+        """Return the membership with a learner made a voter."""
+        learners = dict(self.learners)
+        address = learners.pop(replica_id)
+        return Membership({**self.voters, replica_id: address}, learners)
+
+    def without(self, replica_id: ReplicaId) -> Membership:
+        """Return the membership without a replica."""
+        voters = {k: v for k, v in self.voters.items() if k != replica_id}
+        learners = {k: v for k, v in self.learners.items() if k != replica_id}
+        return Membership(voters, learners)
+
+    def to_bytes(self, time_ms: int = 0) -> bytes:
+        """Encode the membership as JSON.
+
+        :param time_ms: log time in Unix milliseconds, for snapshots
+        :return: UTF-8 bytes
+        """
+        document = {
+            "voters": dict(self.voters),
+            "learners": dict(self.learners),
+            "time_ms": time_ms,
+        }
+        return json.dumps(document, sort_keys=True).encode()
+
+    @classmethod
+    def from_bytes(cls, data: bytes, peer: str) -> tuple[Membership, int]:
+        """Decode a membership and the log time beside it.
+
+        :param data: what :meth:`to_bytes` returned
+        :param peer: where the bytes come from, for the error
+        :return: the membership and the log time in Unix milliseconds
+        :raises ProtocolError: if the bytes hold no membership
+        """
+        try:
+            document = json.loads(data)
+            parts = [
+                {ReplicaId(str(k)): str(v) for k, v in document[name].items()}
+                for name in ("voters", "learners")
+            ]
+            return cls(*parts), int(document["time_ms"])
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise ProtocolError(
+                f"membership cannot be decoded: {error}",
+                step="decode membership",
+                peer=peer,
+            ) from error
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/outbox.py
@@ -0,0 +1,132 @@
+"""Order of durable writes and of the messages that depend on them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from .effects import Effect
+from .effects import Persist
+from .effects import Send
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import ReplicaId
+    from marjoramstep_wire.messages import Message
+
+    from .entry import Snapshot
+    from .replica_log import ReplicaLog
+
+
+class Outbox:
+    """Collects effects; holds promises back until what they promise is durable.
+
+    :param term: durable term
+    :param last_index: last durable index
+    """
+
+    def __init__(self, term: int, last_index: int) -> None:
+        self.synced_term = term
+        self.synced_index = last_index
+        self._effects: list[Effect] = []
+        self._promises: list[Send] = []
+        self._held: list[tuple[int, Send]] = []
+        self._written = 0
+        self._in_flight: Persist | None = None
+        self._in_flight_last = 0
+        self._vote_changed = False
+        self._first_dirty: int | None = None
+        self._snapshot: Snapshot | None = None
+        self._reset_log = False
+
+    def emit(self, effect: Effect) -> None:
+        """Add an effect that depends on no write."""
+        self._effects.append(effect)
+
+    def send(self, receiver: ReplicaId, message: Message) -> None:
+        """Send a message that promises nothing about durable state."""
+        self._effects.append(Send(receiver, message))
+
+    def promise(self, receiver: ReplicaId, message: Message) -> None:
+        """Send a message once everything changed so far is durable."""
+        self._promises.append(Send(receiver, message))
+
+    def vote_changed(self) -> None:
+        """Note that term or vote changed."""
+        self._vote_changed = True
+
+    def entries_changed(self, first: int) -> None:
+        """Note that the log changed.
+
+        :param first: lowest index that is new or replaced
+        """
+        dirty = self._first_dirty
+        self._first_dirty = first if dirty is None else min(dirty, first)
+        self.synced_index = min(self.synced_index, first - 1)
+        self._in_flight_last = min(self._in_flight_last, first - 1)
+
+    def snapshot_changed(self, snapshot: Snapshot, reset_log: bool) -> None:
+        """Note that a snapshot is to be stored.
+
+        :param snapshot: the snapshot
+        :param reset_log: it replaces the whole log
+        """
+        self._snapshot = snapshot
+        self._reset_log = self._reset_log or reset_log
+        if reset_log:
+            self._first_dirty = None
+            self.synced_index = self._in_flight_last = 0
+
+    def on_synced(self, index: int) -> None:
+        """Release what waited for a write.
+
+        :param index: number of the write
+        """
+        write = self._in_flight
+        if write is None or write.index != index:
+            return
+        self._in_flight = None
+        self.synced_term = write.term
+        self.synced_index = max(self.synced_index, self._in_flight_last)
+        self._effects += [send for need, send in self._held if need <= index]
+        self._held = [pair for pair in self._held if pair[0] > index]
+
+    def flush(
+        self, term: int, voted_for: ReplicaId | None, log: ReplicaLog
+    ) -> list[Effect]:
+        """Start a write if one is needed, and return the effects collected.
+
+        :param term: current term
+        :param voted_for: current vote
+        :param log: current log
+        :return: effects in order
+        """
+        dirty = (
+            self._vote_changed
+            or self._first_dirty is not None
+            or self._snapshot is not None
+        )
+        need = self._written + 1 if dirty else self._written
+        self._held += [(need, send) for send in self._promises]
+        self._promises = []
+        if self._in_flight is None:
+            if dirty:
+                self._start_write(term, voted_for, log)
+            else:
+                self._effects += [send for _, send in self._held]
+                self._held = []
+        effects, self._effects = self._effects, []
+        return effects
+
+    def _start_write(
+        self, term: int, voted_for: ReplicaId | None, log: ReplicaLog
+    ) -> None:
+        first = self._first_dirty
+        entries = () if first is None else log.slice(first, log.last_index)
+        self._written += 1
+        self._in_flight = Persist(
+            self._written, term, voted_for, entries, self._snapshot, self._reset_log
+        )
+        self._in_flight_last = log.last_index
+        self._effects.append(self._in_flight)
+        self._vote_changed, self._first_dirty = False, None
+        self._snapshot, self._reset_log = None, False
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/records.py
@@ -0,0 +1,192 @@
+"""Form of the log on disk: one record for each durable write.
+
+A record is a header and a body. The header holds the body's length, the record's
+number, the body's CRC-32 and a CRC-32 of the header itself. Only one write is under way
+at a time, so a crash damages at most the last record.
+"""
+
+from __future__ import annotations
+
+import struct
+import zlib
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.ids import ReplicaId
+
+from .entry import Entry
+from .entry import EntryKind
+from .storage_errors import StoredDataDamagedError
+
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+_MAGIC = b"MSLG"
+_HEADER = struct.Struct("!4sQQI")
+_HEADER_CRC = struct.Struct("!I")
+_HEADER_BYTES = _HEADER.size + _HEADER_CRC.size
+_BODY = struct.Struct("!qHI")
+_ENTRY = struct.Struct("!qqqBI")
+_KINDS = (EntryKind.NORMAL, EntryKind.MEMBERSHIP, EntryKind.NOOP)
+
+
+@dataclass(frozen=True)
+class Record:
+    """One durable write.
+
+    :param term: current term
+    :param voted_for: vote in that term
+    :param entries: entries that replace stored ones from the first index on
+    """
+
+    term: int
+    voted_for: ReplicaId | None
+    entries: tuple[Entry, ...]
+
+
+def encode_record(number: int, record: Record) -> bytes:
+    """Encode a record.
+
+    :param number: number of the record in its file, from 0
+    :param record: the record
+    :return: header and body
+    """
+    vote = (record.voted_for or "").encode()
+    parts = [_BODY.pack(record.term, len(vote), len(record.entries)), vote]
+    for entry in record.entries:
+        kind = _KINDS.index(entry.kind)
+        size = len(entry.payload)
+        parts.append(_ENTRY.pack(entry.index, entry.term, entry.time_ms, kind, size))
+        parts.append(entry.payload)
+    body = b"".join(parts)
+    header = _HEADER.pack(_MAGIC, len(body), number, zlib.crc32(body))
+    return header + _HEADER_CRC.pack(zlib.crc32(header)) + body
+
+
+def decode_records(data: bytes, peer: str) -> tuple[list[Record], int]:
+    """Decode a log file up to its end or a torn last record.
+
+    :param data: content of the file
+    :param peer: path of the file, for the error
+    :return: the records, and the offset in bytes behind the last whole one
+    :raises StoredDataDamagedError: if a damaged record is not the last one
+    """
+    records: list[Record] = []
+    offset = 0
+    while offset < len(data):
+        body = _body_at(data, offset, len(records))
+        if body is None:
+            _check_torn(data, offset, len(records), peer)
+            break
+        records.append(_decode_body(body, offset, peer))
+        offset += _HEADER_BYTES + len(body)
+    return records, offset
+
+
+def _body_at(data: bytes, offset: int, number: int) -> bytes | None:
+    """Return the body of a whole record, or None."""
+    header = _header_at(data, offset)
+    if header is None or header[1] != number:
+        return None
+    length, _, crc = header
+    start = offset + _HEADER_BYTES
+    body = data[start : start + length]
+    return body if len(body) == length and zlib.crc32(body) == crc else None
+
+
+def _header_at(data: bytes, offset: int) -> tuple[int, int, int] | None:
+    raw = data[offset : offset + _HEADER.size]
+    stored = data[offset + _HEADER.size : offset + _HEADER_BYTES]
+    if len(stored) < _HEADER_CRC.size:
+        return None
+    magic, length, number, crc = _HEADER.unpack(raw)
+    if magic != _MAGIC or _HEADER_CRC.unpack(stored)[0] != zlib.crc32(raw):
+        return None
+    return length, number, crc
+
+
+def _check_torn(data: bytes, offset: int, number: int, peer: str) -> None:
+    """Refuse a damaged record that has a later record behind it."""
+    header = _header_at(data, offset)
+    if header is not None and header[1] == number:
+        end = offset + _HEADER_BYTES + header[0]
+        if end >= len(data):
+            return
+        raise _damaged(number, offset, f"{len(data) - end} bytes follow it", peer)
+    position = data.find(_MAGIC, offset + 1)
+    while position >= 0:
+        header = _header_at(data, position)
+        if header is not None and header[1] > number:
+            raise _damaged(number, offset, f"record {header[1]} follows it", peer)
+        position = data.find(_MAGIC, position + 1)
+
+
+def _damaged(number: int, offset: int, found: str, peer: str) -> StoredDataDamagedError:
+    return StoredDataDamagedError(
+        f"record {number} at byte {offset} is damaged and {found}; remove this replica"
+        " from the deployment, move its data folder away and admit a new one",
+        step="read log",
+        peer=peer,
+    )
+
+
+def _decode_body(body: bytes, offset: int, peer: str) -> Record:
+    try:
+        term, vote_size, count = _BODY.unpack_from(body)
+        position = _BODY.size + vote_size
+        vote = body[_BODY.size : position].decode()
+        entries = []
+        for _ in range(count):
+            index, entry_term, time_ms, kind, size = _ENTRY.unpack_from(body, position)
+            position += _ENTRY.size
+            payload = body[position : position + size]
+            position += size
+            entries.append(Entry(index, entry_term, _KINDS[kind], time_ms, payload))
+    except (struct.error, IndexError, UnicodeDecodeError) as error:
+        raise StoredDataDamagedError(
+            f"the record at byte {offset} has a valid checksum but no valid content:"
+            f" {error}",
+            step="read log",
+            peer=peer,
+        ) from error
+    return Record(term, ReplicaId(vote) if vote else None, tuple(entries))
+
+
+def merge_entries(
+    records: Sequence[Record], snapshot_index: int, snapshot_term: int, peer: str
+) -> tuple[Entry, ...]:
+    """Return the log that a sequence of records leaves behind.
+
+    :param records: records in order
+    :param snapshot_index: index of the stored snapshot; entries up to it are dropped
+    :param snapshot_term: term of its last entry; a log with another term there is
+        older than the snapshot and contradicts it, so that it is dropped whole
+    :param peer: path of the file, for the error
+    :return: entries directly after the snapshot
+    :raises StoredDataDamagedError: if an index is missing
+    """
+    entries: list[Entry] = []
+    for record in records:
+        for entry in record.entries:
+            if entries and entry.index <= entries[-1].index:
+                del entries[max(entry.index - entries[0].index, 0) :]
+            if entries and entry.index != entries[-1].index + 1:
+                raise _gap(entries[-1].index + 1, entry.index, peer)
+            entries.append(entry)
+    if entries and entries[0].index <= snapshot_index:
+        at = snapshot_index - entries[0].index
+        if at >= len(entries) or entries[at].term != snapshot_term:
+            return ()
+        del entries[: at + 1]
+    if entries and entries[0].index != snapshot_index + 1:
+        raise _gap(snapshot_index + 1, entries[0].index, peer)
+    return tuple(entries)
+
+
+def _gap(expected: int, found: int, peer: str) -> StoredDataDamagedError:
+    return StoredDataDamagedError(
+        f"log entry {expected} is missing; the next one found is {found}",
+        step="read log",
+        peer=peer,
+    )
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/replica_core.py
@@ -0,0 +1,355 @@
+"""Pure core of the replicated log, without sockets, files or event loop."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import ProtocolError
+from marjoramstep_core.errors import UnavailableError
+from marjoramstep_core.ids import ReplicaId
+from marjoramstep_wire.messages import AppendReply
+from marjoramstep_wire.messages import AppendRequest
+from marjoramstep_wire.messages import JoinReply
+from marjoramstep_wire.messages import JoinRequest
+from marjoramstep_wire.messages import SnapshotPart
+from marjoramstep_wire.messages import SnapshotReply
+from marjoramstep_wire.messages import VoteReply
+from marjoramstep_wire.messages import VoteRequest
+
+from .effects import Role
+from .election import Election
+from .entry import Snapshot
+from .following import Following
+from .leadership import ChangeRefusedError
+from .leadership import Leadership
+from .replica_state import Limits
+from .replica_state import ReplicaState
+from .replica_state import StoredState
+from .replica_state import Timing
+
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_wire.messages import Message
+
+    from .effects import Effect
+    from .membership import Membership
+
+_SENDER_FIELDS = {
+    VoteRequest: "candidate_id",
+    VoteReply: "voter_id",
+    AppendRequest: "leader_id",
+    AppendReply: "follower_id",
+    SnapshotPart: "leader_id",
+    SnapshotReply: "follower_id",
+    JoinRequest: "replica_id",
+}
+
+
+class NotLeaderError(UnavailableError):
+    """Only the leader can do this.
+
+    :param leader_id: the leader, if known
+    """
+
+    def __init__(self, step: str, leader_id: ReplicaId | None) -> None:
+        super().__init__(f"not the leader; leader: {leader_id or 'unknown'}", step=step)
+        self.leader_id = leader_id
+
+
+class ReplicaCore:
+    """One replica of a Raft-like replicated log.
+
+    Every input returns effects, to be carried out in their order. ``Persist`` is the
+    only one that is answered: once it is durable, call :meth:`on_synced`. Messages that
+    promise something about durable state leave only then. Time-outs use the monotonic
+    time of the clock; the wall clock only stamps entries. A replica acts only on its
+    inputs, so :meth:`tick` must be called at :meth:`next_wakeup_ms` or earlier.
+
+    After a restart the state machine is restored from ``stored.snapshot`` (when its
+    index is not 0); entries after it come again as ``Apply``.
+
+    The daemon must pass on messages only from the peer that proved the id in its
+    handshake, and only those addressed to this replica's id.
+
+    :param replica_id: own id, from the data folder
+    :param stored: state from the data folder
+    :param clock: time source
+    :param rng: generator for election time-outs
+    :param timing: time-outs
+    :param limits: sizes of messages
+    """
+
+    def __init__(
+        self,
+        replica_id: ReplicaId,
+        stored: StoredState,
+        clock: Clock,
+        rng: Random,
+        timing: Timing | None = None,
+        limits: Limits | None = None,
+    ) -> None:
+        self._state = ReplicaState(
+            replica_id, stored, clock, rng, timing or Timing(), limits or Limits()
+        )
+        self._election = Election(self._state)
+        self._following = Following(self._state)
+        self._leadership: Leadership | None = None
+        self._read_count = 0
+        self._waiting: dict[ReplicaId, str] = {}
+
+    @property
+    def replica_id(self) -> ReplicaId:
+        """Return the own id."""
+        return self._state.replica_id
+
+    @property
+    def role(self) -> Role:
+        """Return the role in the current term."""
+        return self._state.role
+
+    @property
+    def term(self) -> int:
+        """Return the current term."""
+        return self._state.term
+
+    @property
+    def leader_id(self) -> ReplicaId | None:
+        """Return the leader of the term, if known."""
+        return self._state.leader_id
+
+    @property
+    def leader_address(self) -> str:
+        """Return the peer address of the known leader, or an empty string."""
+        members = self.membership.members
+        leader_id = self._state.leader_id
+        return members.get(leader_id, "") if leader_id else ""
+
+    @property
+    def membership(self) -> Membership:
+        """Return the latest membership in the log, committed or not."""
+        return self._state.log.membership
+
+    @property
+    def commit_index(self) -> int:
+        """Return the highest index known to be committed."""
+        return self._state.commit_index
+
+    @property
+    def applied_index(self) -> int:
+        """Return the highest index given out by ``Apply`` or ``InstallSnapshot``."""
+        return self._state.applied_index
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry, durable or not."""
+        return self._state.log.last_index
+
+    @property
+    def waiting_replicas(self) -> dict[ReplicaId, str]:
+        """Return ids and addresses that asked this leader to be admitted."""
+        return dict(self._waiting)
+
+    def match_indexes(self) -> dict[ReplicaId, int]:
+        """Return the highest index known to be durable at each member.
+
+        :return: indexes by id; empty unless this replica leads
+        """
+        if self._leadership is None:
+            return {}
+        known = {peer: p.match_index for peer, p in self._leadership.peers.items()}
+        return {self.replica_id: self._state.outbox.synced_index, **known}
+
+    def quorum_contact_ms(self) -> float | None:
+        """Return a time at which a quorum still accepted this replica as the leader.
+
+        :return: monotonic milliseconds, or None unless this replica leads
+        """
+        return self._leadership.quorum_contact_ms() if self._leadership else None
+
+    def next_wakeup_ms(self) -> float:
+        """Return when :meth:`tick` has something to do.
+
+        :return: monotonic milliseconds
+        """
+        if self._leadership is not None:
+            return self._leadership.next_heartbeat_ms
+        return self._state.election_deadline_ms
+
+    def tick(self) -> list[Effect]:
+        """Act on time-outs that have passed.
+
+        :return: effects in order
+        """
+        if self._leadership is not None:
+            self._leadership.tick()
+        else:
+            self._election.tick()
+        return self._finish()
+
+    def receive(self, sender: ReplicaId, message: Message) -> list[Effect]:
+        """Take a message of another replica.
+
+        :param sender: id that the peer proved in its handshake
+        :param message: one of the replication messages
+        :return: effects in order
+        :raises ProtocolError: if the message is malformed or names another sender
+        """
+        name = _SENDER_FIELDS.get(type(message))
+        if name is None or getattr(message, name) != sender:
+            raise ProtocolError(
+                f"unexpected {type(message).__name__} from this sender",
+                step="receive replication message",
+                peer=sender,
+            )
+        if isinstance(message, VoteRequest):
+            self._election.receive_request(message)
+        elif isinstance(message, VoteReply):
+            self._election.receive_reply(message)
+        elif isinstance(message, AppendRequest | SnapshotPart):
+            self._receive_from_leader(message)
+        elif isinstance(message, JoinRequest):
+            self._receive_join(message)
+        else:
+            self._receive_reply(message)
+        return self._finish()
+
+    def on_synced(self, index: int) -> list[Effect]:
+        """Take note that a write is durable.
+
+        :param index: number of the ``Persist`` effect
+        :return: effects in order
+        """
+        self._state.outbox.on_synced(index)
+        if self._leadership is not None:
+            self._leadership.advance()
+        else:
+            self._state.advance_commit(self._state.commit_index)
+        return self._finish()
+
+    def propose(self, *payloads: bytes) -> list[Effect]:
+        """Append payloads to the log; see ``Proposed`` for their outcome.
+
+        :param payloads: opaque bytes
+        :return: effects in order, one ``Proposed`` for each payload
+        :raises NotLeaderError: unless this replica leads
+        :raises InvalidInputError: if a payload is too long; then none is appended
+        """
+        self._lead("propose").propose(payloads)
+        return self._finish()
+
+    def request_read(self) -> tuple[int, list[Effect]]:
+        """Start to confirm that this replica still leads, for a linearizable read.
+
+        :return: number of the read in ``ReadReady`` or ``ReadFailed``, and effects
+        :raises NotLeaderError: unless this replica leads
+        """
+        leadership = self._lead("read")
+        self._read_count += 1
+        leadership.request_read(self._read_count)
+        return self._read_count, self._finish()
+
+    def admit(self, replica_id: ReplicaId, address: str) -> list[Effect]:
+        """Add a replica as a learner; it becomes a voter once it has caught up.
+
+        :param replica_id: id of the new replica
+        :param address: its peer address ``ip:port``
+        :return: effects in order
+        :raises NotLeaderError: unless this replica leads
+        :raises ChangeRefusedError: if it is a member, or another change is open
+        """
+        leadership = self._lead("admit")
+        if replica_id in self.membership.members:
+            raise ChangeRefusedError(f"{replica_id} is a member already", step="admit")
+        if self.membership.learners:
+            raise ChangeRefusedError(
+                f"{', '.join(self.membership.learners)} must catch up or be removed",
+                step="admit",
+            )
+        leadership.change(self.membership.with_learner(replica_id, address))
+        self._waiting.pop(replica_id, None)
+        return self._finish()
+
+    def remove(self, replica_id: ReplicaId) -> list[Effect]:
+        """Remove a member; a leader that removes itself leads until this is committed.
+
+        :param replica_id: id of the member
+        :return: effects in order
+        :raises NotLeaderError: unless this replica leads
+        :raises ChangeRefusedError: if it is no member, is the last voter, or another
+            change is open
+        """
+        leadership = self._lead("remove")
+        if replica_id not in self.membership.members:
+            raise ChangeRefusedError(f"{replica_id} is not a member", step="remove")
+        leadership.change(self.membership.without(replica_id))
+        return self._finish()
+
+    def compact(self, data: bytes) -> list[Effect]:
+        """Store a snapshot of the state machine and drop the log before it.
+
+        :param data: state after :attr:`applied_index`
+        :return: effects in order
+        """
+        state = self._state
+        index = state.applied_index
+        term = state.log.term_at(index)
+        if term is None or index <= state.log.snapshot.last_index:
+            return []
+        time_ms = state.log.slice(index, index)[0].time_ms
+        membership = state.log.membership_at(index)
+        snapshot = Snapshot(index, term, time_ms, membership, data)
+        state.log.compact(snapshot, state.limits.kept_entries)
+        state.outbox.snapshot_changed(snapshot, reset_log=False)
+        return self._finish()
+
+    def _lead(self, step: str) -> Leadership:
+        if self._leadership is None:
+            raise NotLeaderError(step, self._state.leader_id)
+        return self._leadership
+
+    def _receive_from_leader(self, message: AppendRequest | SnapshotPart) -> None:
+        if message.term == self.term and self.role is Role.LEADER:
+            raise ProtocolError(
+                f"second leader in term {message.term}",
+                step="receive replication message",
+                peer=message.leader_id,
+            )
+        if isinstance(message, AppendRequest):
+            self._following.receive_append(message)
+        else:
+            self._following.receive_snapshot(message)
+
+    def _receive_reply(self, reply: AppendReply | SnapshotReply) -> None:
+        if reply.term > self.term:
+            self._state.become_follower(reply.term, None)
+        elif reply.term == self.term and self._leadership is not None:
+            if isinstance(reply, AppendReply):
+                self._leadership.receive_append_reply(reply)
+            else:
+                self._leadership.receive_snapshot_reply(reply)
+
+    def _receive_join(self, request: JoinRequest) -> None:
+        replica_id = ReplicaId(request.replica_id)
+        accepted = replica_id in self.membership.members
+        leads = self._leadership is not None
+        if leads and not accepted:
+            self._waiting[replica_id] = request.address
+        reply = JoinReply(
+            replica_id=request.replica_id,
+            accepted=leads and accepted,
+            detail="" if accepted else "waits for the operator to admit it",
+            leader_address=self.leader_address,
+        )
+        self._state.outbox.send(replica_id, reply)
+
+    def _finish(self) -> list[Effect]:
+        if self._leadership is not None and self.role is not Role.LEADER:
+            self._leadership.end()
+            self._leadership = None
+        if self._election.has_won():
+            self._leadership = Leadership(self._state)
+            self._leadership.advance()
+        return self._state.flush()
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/replica_driver.py
@@ -0,0 +1,170 @@
+"""Sorts the effects of a core into work for tasks, and matches proposals."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from .effects import Apply
+from .effects import InstallSnapshot
+from .effects import Persist
+from .effects import Proposed
+from .effects import ReadFailed
+from .effects import ReadReady
+from .effects import Role
+from .effects import RoleChanged
+from .effects import Send
+from .entry import EntryKind
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from .effects import Effect
+    from .entry import Entry
+    from .entry import Snapshot
+    from .replica_core import ReplicaCore
+
+
+class ProposalState(Enum):
+    """What became of a proposal."""
+
+    APPLIED = "applied"
+    LOST = "lost"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True)
+class ProposalResult:
+    """Result of one proposal.
+
+    :param token: what the caller gave with the proposal
+    :param state: what became of it
+    :param value: what the state machine returned, when it was applied
+    """
+
+    token: object
+    state: ProposalState
+    value: object = None
+
+
+@dataclass(frozen=True)
+class StateMachineCalls:
+    """Functions of the replicated state machine.
+
+    :param apply: takes a committed entry of kind ``NORMAL`` with its index and log time
+    :param restore: replaces the state by a snapshot's data
+    :param snapshot: returns the state as bytes
+    """
+
+    apply: Callable[[Entry], object]
+    restore: Callable[[bytes], None]
+    snapshot: Callable[[], bytes]
+
+
+@dataclass
+class Work:
+    """What tasks have to do after an input, in the order of the fields.
+
+    :param write: give it to ``DataFolder.persist``, then call ``ReplicaCore.on_synced``
+    :param sends: messages for other replicas
+    :param results: proposals that are settled
+    :param ready_reads: reads that may be answered from the state machine now
+    :param failed_reads: reads that must be asked of the new leader
+    """
+
+    write: Persist | None = None
+    sends: list[Send] = field(default_factory=list)
+    results: list[ProposalResult] = field(default_factory=list)
+    ready_reads: list[int] = field(default_factory=list)
+    failed_reads: list[int] = field(default_factory=list)
+
+
+class ReplicaDriver:
+    """Carries out the effects that need no I/O and collects the others.
+
+    :param core: the replica
+    :param machine: functions of the state machine, whose state is at the core's
+        ``applied_index``
+    :param snapshot_entries: applied entries between two snapshots
+    """
+
+    def __init__(
+        self, core: ReplicaCore, machine: StateMachineCalls, snapshot_entries: int
+    ) -> None:
+        self.core = core
+        self._machine = machine
+        self._snapshot_entries = snapshot_entries
+        self._snapshot_index = core.applied_index
+        self._waiting: dict[int, tuple[int, object]] = {}
+
+    def propose(self, proposals: list[tuple[object, bytes]]) -> Work:
+        """Propose a batch of payloads.
+
+        :param proposals: token and payload of each
+        :return: work, and later a :class:`ProposalResult` for each token
+        :raises NotLeaderError: unless this replica leads
+        :raises InvalidInputError: if a payload is too long; then none is proposed
+        """
+        effects = self.core.propose(*(payload for _, payload in proposals))
+        placed = [effect for effect in effects if isinstance(effect, Proposed)]
+        for effect, (token, _) in zip(placed, proposals, strict=True):
+            self._waiting[effect.index] = (effect.term, token)
+        return self.handle(effects)
+
+    def handle(self, effects: list[Effect]) -> Work:
+        """Sort the effects of any input to the core.
+
+        :param effects: what the core returned
+        :return: work for the tasks
+        """
+        work = Work()
+        self._sort(effects, work)
+        index = self.core.applied_index
+        if index - self._snapshot_index >= self._snapshot_entries:
+            self._snapshot_index = index
+            self._sort(self.core.compact(self._machine.snapshot()), work)
+        return work
+
+    def _sort(self, effects: list[Effect], work: Work) -> None:
+        for effect in effects:
+            if isinstance(effect, Send):
+                work.sends.append(effect)
+            elif isinstance(effect, Persist):
+                work.write = effect
+            elif isinstance(effect, Apply):
+                for entry in effect.entries:
+                    self._apply(entry, work)
+            elif isinstance(effect, InstallSnapshot):
+                self._install(effect.snapshot, work)
+            elif isinstance(effect, ReadReady):
+                work.ready_reads.append(effect.read_id)
+            elif isinstance(effect, ReadFailed):
+                work.failed_reads.append(effect.read_id)
+            elif isinstance(effect, RoleChanged) and effect.role is not Role.LEADER:
+                self._give_up(work)
+
+    def _apply(self, entry: Entry, work: Work) -> None:
+        value = None
+        if entry.kind is EntryKind.NORMAL:
+            value = self._machine.apply(entry)
+        term, token = self._waiting.pop(entry.index, (0, None))
+        if term == entry.term:
+            result = ProposalResult(token, ProposalState.APPLIED, value)
+            work.results.append(result)
+        elif term:
+            work.results.append(ProposalResult(token, ProposalState.LOST))
+
+    def _install(self, snapshot: Snapshot, work: Work) -> None:
+        self._machine.restore(snapshot.data)
+        self._snapshot_index = snapshot.last_index
+        self._give_up(work)
+
+    def _give_up(self, work: Work) -> None:
+        work.results += [
+            ProposalResult(token, ProposalState.UNKNOWN)
+            for _, token in self._waiting.values()
+        ]
+        self._waiting = {}
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/replica_state.py
@@ -0,0 +1,161 @@
+"""State that the parts of the replication core share."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from dataclasses import field
+from typing import TYPE_CHECKING
+
+from .effects import Apply
+from .effects import Role
+from .effects import RoleChanged
+from .outbox import Outbox
+from .replica_log import EMPTY_SNAPSHOT
+from .replica_log import ReplicaLog
+
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import ReplicaId
+
+    from .effects import Effect
+    from .entry import Entry
+    from .entry import Snapshot
+
+
+@dataclass(frozen=True)
+class Timing:
+    """Time-outs in milliseconds of monotonic time.
+
+    The heartbeat is well below the election time-out, so that a few lost messages
+    start no election.
+    """
+
+    heartbeat_ms: float = 100.0
+    election_min_ms: float = 500.0
+    election_max_ms: float = 1_000.0
+
+
+@dataclass(frozen=True)
+class Limits:
+    """Sizes; each message stays well below the frame limit of 2 MiB.
+
+    :param batch_entries: most entries in one message
+    :param batch_bytes: most payload bytes in one message with several entries
+    :param part_bytes: bytes of a snapshot in one message
+    :param payload_bytes: most bytes of one proposal
+    :param kept_entries: entries kept in memory below a snapshot
+    """
+
+    batch_entries: int = 1_024
+    batch_bytes: int = 256 * 1024
+    part_bytes: int = 256 * 1024
+    payload_bytes: int = 1024 * 1024
+    kept_entries: int = 4_096
+
+
+@dataclass(frozen=True)
+class StoredState:
+    """What a replica finds in its data folder.
+
+    :param term: last term seen
+    :param voted_for: vote in that term
+    :param snapshot: latest snapshot
+    :param entries: entries directly after the snapshot
+    """
+
+    term: int = 0
+    voted_for: ReplicaId | None = None
+    snapshot: Snapshot = EMPTY_SNAPSHOT
+    entries: tuple[Entry, ...] = field(default=())
+
+
+class ReplicaState:
+    """Term, vote, log and role of one replica.
+
+    :param replica_id: own id
+    :param stored: what the data folder held
+    :param clock: time source
+    :param rng: generator for election time-outs
+    :param timing: time-outs
+    :param limits: sizes
+    """
+
+    def __init__(
+        self,
+        replica_id: ReplicaId,
+        stored: StoredState,
+        clock: Clock,
+        rng: Random,
+        timing: Timing,
+        limits: Limits,
+    ) -> None:
+        self.replica_id = replica_id
+        self.clock = clock
+        self.rng = rng
+        self.timing = timing
+        self.limits = limits
+        self.term = stored.term
+        self.voted_for = stored.voted_for
+        self.log = ReplicaLog(stored.snapshot, stored.entries)
+        self.outbox = Outbox(stored.term, self.log.last_index)
+        self.role = Role.FOLLOWER
+        self.leader_id: ReplicaId | None = None
+        self.commit_index = stored.snapshot.last_index
+        self.applied_index = stored.snapshot.last_index
+        self.leader_heard_ms: float | None = None
+        self.election_deadline_ms = 0.0
+        self._reported = RoleChanged(self.role, self.term, None)
+        self.reset_election_deadline()
+
+    def reset_election_deadline(self) -> None:
+        """Draw a new election time-out."""
+        timing = self.timing
+        wait_ms = self.rng.uniform(timing.election_min_ms, timing.election_max_ms)
+        self.election_deadline_ms = self.clock.now_ms() + wait_ms
+
+    def become_follower(self, term: int, leader_id: ReplicaId | None) -> None:
+        """Follow in a term.
+
+        :param term: current term or a higher one, which clears the vote
+        :param leader_id: leader of the term, if known
+        """
+        if term > self.term:
+            self.term = term
+            self.voted_for = None
+            self.outbox.vote_changed()
+        self.role = Role.FOLLOWER
+        self.leader_id = leader_id
+
+    def leader_is_recent(self) -> bool:
+        """Tell whether a leader was heard within the shortest election time-out."""
+        if self.role is Role.LEADER:
+            return True
+        heard_ms = self.leader_heard_ms
+        now_ms = self.clock.now_ms()
+        return heard_ms is not None and now_ms - heard_ms < self.timing.election_min_ms
+
+    def advance_commit(self, index: int) -> None:
+        """Raise the commit index and apply what is committed and durable here.
+
+        :param index: index known to be committed; lower ones change nothing
+        """
+        self.commit_index = max(self.commit_index, index)
+        last = min(self.commit_index, self.outbox.synced_index)
+        if last > self.applied_index:
+            entries = self.log.slice(self.applied_index + 1, last)
+            self.applied_index = last
+            self.outbox.emit(Apply(entries))
+
+    def flush(self) -> list[Effect]:
+        """Return the effects of an input.
+
+        :return: effects in order
+        """
+        now = RoleChanged(self.role, self.term, self.leader_id)
+        if now != self._reported:
+            self._reported = now
+            self.outbox.emit(now)
+        return self.outbox.flush(self.term, self.voted_for, self.log)
--- /dev/null
+++ b/packages/consensus/src/marjoramstep_consensus/sender.py
@@ -0,0 +1,109 @@
+"""Builds a leader's messages to one member."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_wire.messages import AppendRequest
+from marjoramstep_wire.messages import SnapshotPart
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.ids import ReplicaId
+
+    from .entry import Entry
+    from .progress import Progress
+    from .replica_state import ReplicaState
+
+
+class Sender:
+    """Sends batches, heartbeats and parts of snapshots.
+
+    At most one batch or part to a member awaits its answer. Later entries wait and form
+    the next batch.
+
+    :param state: state of the leader
+    """
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._state = state
+
+    def send_next(
+        self, peer: ReplicaId, progress: Progress, round_id: int, *, heartbeat: bool
+    ) -> None:
+        """Send what the member needs next.
+
+        :param peer: the member
+        :param progress: what it has
+        :param round_id: current round
+        :param heartbeat: send a message even when there is nothing new
+        """
+        state = self._state
+        now_ms = state.clock.now_ms()
+        waiting = progress.sent_last_index > 0
+        if waiting and now_ms - progress.sent_ms >= state.timing.election_min_ms / 2:
+            progress.sent_last_index = 0
+            waiting = False
+        if state.log.term_at(progress.next_index - 1) is None:
+            if not waiting:
+                self._send_part(peer, progress)
+            if heartbeat:
+                self._append(peer, 0, (), round_id)
+            return
+        entries = () if waiting else self._batch(progress.next_index)
+        if entries:
+            progress.sent_last_index = entries[-1].index
+            progress.sent_ms = now_ms
+        if entries or heartbeat:
+            self._append(peer, progress.next_index - 1, entries, round_id)
+
+    def _batch(self, first: int) -> tuple[Entry, ...]:
+        limits = self._state.limits
+        entries = self._state.log.slice(first, first + limits.batch_entries - 1)
+        size = 0
+        for count, entry in enumerate(entries):
+            size += len(entry.payload)
+            if count and size > limits.batch_bytes:
+                return entries[:count]
+        return entries
+
+    def _append(
+        self,
+        peer: ReplicaId,
+        previous: int,
+        entries: tuple[Entry, ...],
+        round_id: int,
+    ) -> None:
+        state = self._state
+        request = AppendRequest(
+            term=state.term,
+            leader_id=state.replica_id,
+            previous_index=previous,
+            previous_term=state.log.term_at(previous) or 0,
+            entries=[entry.to_wire() for entry in entries],
+            commit_index=state.commit_index,
+            round_id=round_id,
+        )
+        state.outbox.send(peer, request)
+
+    def _send_part(self, peer: ReplicaId, progress: Progress) -> None:
+        state = self._state
+        snapshot = state.log.snapshot
+        if progress.snapshot_index != snapshot.last_index:
+            progress.end_snapshot()
+            progress.snapshot_index = snapshot.last_index
+        offset = progress.snapshot_offset_bytes
+        end = offset + state.limits.part_bytes
+        progress.sent_last_index = snapshot.last_index
+        progress.sent_ms = state.clock.now_ms()
+        part = SnapshotPart(
+            term=state.term,
+            leader_id=state.replica_id,
+            last_index=snapshot.last_index,
+            last_term=snapshot.last_term,
+            membership=snapshot.membership.to_bytes(snapshot.time_ms),
+            offset_bytes=offset,
+            data=snapshot.data[offset:end],
+            last=end >= len(snapshot.data),
+        )
+        state.outbox.send(peer, part)
