--- /dev/null
+++ b/features/state/edits.feature
@@ -0,0 +1,63 @@
+Feature: Edits of the replicated table
+  Guards against an edit that reverts another, is applied twice after a lost answer, or
+  is refused without saying why.
+
+  Background:
+    Given a fresh replicated state machine
+
+  Scenario: Of two edits with equal version one wins and the other is told who won
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    Then the state edit is accepted at version 2
+    When operator "bea" edits the weight of row "default" to 30 with key "b" on version 1
+    Then the state edit is a conflict won by "ana" with key "a"
+    And the replicated weight of row "default" is 20
+
+  Scenario: A late edit is told the winner of its own version
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    And operator "bea" edits the weight of row "default" to 30 with key "b" on version 2
+    And operator "eva" edits the weight of row "default" to 40 with key "c" on version 1
+    Then the state edit is a conflict won by "ana" with key "a"
+
+  Scenario: A resent edit gets its first verdict again after a restart
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    And operator "bea" edits the weight of row "default" to 30 with key "b" on version 2
+    And the replica is restored from its snapshot
+    And operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    Then the state edit is accepted at version 2
+    And the replicated weight of row "default" is 30
+    And the verdict of edit key "a" is known
+    And the audit trail has 2 entries
+
+  Scenario: A resent losing edit stays a conflict
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    And operator "bea" edits the weight of row "default" to 30 with key "b" on version 1
+    And operator "bea" edits the weight of row "default" to 30 with key "b" on version 1
+    Then the state edit is a conflict won by "ana" with key "a"
+    And the audit trail has 2 entries
+
+  Scenario: An edit key with other content is refused
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    And operator "ana" edits the weight of row "default" to 21 with key "a" on version 2
+    Then the state edit is refused naming the cells edit_key
+    And the replicated weight of row "default" is 20
+
+  Scenario: Every faulty cell is named
+    When operator "ana" sets weight=0, retries=11, colour=red with key "a" on version 1
+    Then the state edit is refused naming the cells weight, retries, colour
+    And the replicated weight of row "default" is 10
+
+  Scenario: An edit of a version that does not exist is refused
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 7
+    Then the state edit is refused naming the cells base_version
+
+  Scenario: The verdict of an edit key is kept for 24 h of log time
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    And 86400000 ms of log time pass
+    Then the verdict of edit key "a" is known
+    When 1 ms of log time pass
+    Then the verdict of edit key "a" is not known
+
+  Scenario: The last 100 versions are kept for diff
+    When 150 edits are accepted one after the other
+    Then the table versions 52 to 151 are kept and 51 is not
+    And the kept table versions are the same after a restart
--- /dev/null
+++ b/features/steps/state_machine_steps.py
@@ -0,0 +1,245 @@
+"""Steps for the replicated state machine as a whole."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import orjson
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.ids import LogIndex
+from marjoramstep_core.table import EditOperation
+from marjoramstep_state import InvalidCommandError
+from marjoramstep_state import InvalidSnapshotError
+from marjoramstep_state import StateLimits
+from marjoramstep_state import StateMachine
+from marjoramstep_state import decode_command
+from marjoramstep_state import encode_command
+from marjoramstep_state.answer import AnswerRecord
+from marjoramstep_state.commands import AdvanceTime
+from marjoramstep_state.commands import ChangeVerdict
+from marjoramstep_state.commands import Claim
+from marjoramstep_state.commands import EditTable
+from marjoramstep_state.commands import EndClaim
+from marjoramstep_state.commands import EndState
+from marjoramstep_state.commands import LookUpClaim
+from marjoramstep_state.commands import RecordReplicaChange
+from marjoramstep_state.commands import ReplicaAction
+from marjoramstep_state.commands import ReportCrash
+
+
+START_MS = 1_700_000_000_000
+SMALL_LIMITS = StateLimits(
+    edit_verdict_ms=60_000,
+    table_versions=5,
+    key_lifetime_ms=60_000,
+    key_ahead_ms=5_000,
+    abandoned_per_key=3,
+    answer_bytes=400,
+    answers_per_partition_bytes=500,
+    prune_records=2,
+    suspects=4,
+    audit_entries=20,
+)
+
+
+class Replica:
+    """A state machine with its log."""
+
+    def __init__(self, limits: StateLimits | None = None) -> None:
+        self.limits = limits or StateLimits()
+        self.machine = StateMachine(self.limits)
+        self.log: list[bytes] = []
+        self.now_ms = START_MS
+
+    def run(self, command: Any) -> Any:
+        """Apply a command through its payload and return its result."""
+        payload = encode_command(command)
+        assert decode_command(payload) == command
+        self.log.append(payload)
+        applied = self.machine.apply(LogIndex(len(self.log)), payload)
+        assert not applied.fault, applied.fault
+        return applied.result
+
+    def restart(self) -> None:
+        """Replace the machine by one restored from its snapshot."""
+        data = self.machine.snapshot()
+        self.machine = StateMachine(self.limits)
+        self.machine.restore(data)
+
+
+def answer(body: bytes) -> AnswerRecord:
+    """Return a stored answer with a body."""
+    return AnswerRecord(
+        200, (("Content-Type", "text/plain"),), body, True, len(body), ""
+    )
+
+
+def random_command(rng: random.Random, now_ms: int) -> Any:
+    """Return a command of any kind, from few keys so that they collide."""
+    key = f"{START_MS + rng.randrange(0, 90_000, 15_000)}-{rng.randrange(6):016d}"
+    attempt = f"attempt-{rng.randrange(6)}"
+    kind = rng.randrange(8)
+    if kind == 0:
+        return Claim(
+            now_ms, key, attempt, "node-1", "pay", f"fp{rng.randrange(20) // 19}"
+        )
+    if kind in (1, 2):
+        body = bytes([rng.randrange(256)]) * rng.choice([10, 100, 300, 500])
+        done = kind == 1
+        end = EndState.DONE if done else EndState.ABANDONED
+        return EndClaim(now_ms, key, attempt, end, answer(body) if done else None)
+    if kind == 3:
+        return LookUpClaim(now_ms, key, rng.random() < 0.3)
+    if kind == 4:
+        return ReportCrash(
+            now_ms, "pay", f"fp{rng.randrange(8)}", f"r{rng.randrange(9)}"
+        )
+    if kind == 5:
+        ids = ("a", "b", "c")
+        return RecordReplicaChange(
+            *(now_ms, "ana", "127.0.0.1", ReplicaAction.ADMIT, "c"),
+            *(ChangeVerdict.ACCEPTED, ids[:2], ids),
+        )
+    if kind == 6:
+        return AdvanceTime(now_ms)
+    row = rng.choice(["pay", "default"])
+    cells = {"weight": rng.randrange(0, 1100)}
+    operation = EditOperation.from_json(
+        {"kind": rng.choice(["set", "add", "drop"]), "row": row, "cells": cells}
+    )
+    base_version = rng.randrange(1, 12)
+    return EditTable(
+        now_ms, f"edit-{rng.randrange(30)}", base_version, "ana", "", (operation,)
+    )
+
+
+@given("a fresh replicated state machine")
+def step_fresh(context: Any) -> None:
+    context.replica = Replica()
+
+
+@then('the state payload {payload} cannot be decoded, naming "{problem}"')
+def step_undecodable(context: Any, payload: str, problem: str) -> None:
+    try:
+        decode_command(payload.encode())
+    except InvalidCommandError as error:
+        assert problem in error.message, error.message
+    else:
+        raise AssertionError("the payload was decoded")
+
+
+@then("applying the state payload {payload} is counted and changes nothing else")
+def step_no_op(context: Any, payload: str) -> None:
+    machine = context.replica.machine
+    before = orjson.loads(machine.snapshot())
+    applied = machine.apply(LogIndex(1), payload.encode())
+    after = orjson.loads(machine.snapshot())
+    assert applied.result is None and applied.fault
+    assert after == {**before, "applied_index": 1, "invalid_count": 1}
+
+
+def _encoding_fails(command: Any) -> None:
+    try:
+        encode_command(command)
+    except InvalidCommandError:
+        return
+    raise AssertionError("the command was encoded")
+
+
+@then("an edit with a nested cell value cannot be encoded")
+def step_nested(context: Any) -> None:
+    operation = EditOperation.from_json(
+        {"kind": "set", "row": "default", "cells": {"weight": [[1]]}}
+    )
+    _encoding_fails(EditTable(1, "k", 1, "ana", "", (operation,)))
+
+
+@then("an end done without an answer cannot be encoded")
+def step_no_answer(context: Any) -> None:
+    _encoding_fails(EndClaim(1, "key", "attempt", EndState.DONE, None))
+
+
+@when("the log time is applied as {first:d} and then as {second:d}")
+def step_log_times(context: Any, first: int, second: int) -> None:
+    for log_time_ms in (first, second):
+        context.replica.run(AdvanceTime(log_time_ms))
+
+
+@then("the state watermark is {expected:d}")
+def step_watermark(context: Any, expected: int) -> None:
+    assert context.replica.machine.watermark_ms == expected
+
+
+@then("applying an entry at a lower index fails")
+def step_lower_index(context: Any) -> None:
+    try:
+        context.replica.machine.apply(LogIndex(1), context.replica.log[0])
+    except ValueError:
+        return
+    raise AssertionError("the entry was applied twice")
+
+
+@when("{count:d} random state commands are applied with seed {seed:d}")
+def step_random(context: Any, count: int, seed: int) -> None:
+    rng = random.Random(seed)
+    context.replica = replica = Replica(SMALL_LIMITS)
+    context.snapshots = []
+    for number in range(count):
+        if number % (count // 6) == 0:
+            context.snapshots.append((number, replica.machine.snapshot()))
+        replica.now_ms += rng.randrange(0, 160)
+        replica.run(random_command(rng, replica.now_ms - rng.randrange(0, 200)))
+
+
+@then(
+    "a replica restored from any of {count:d} snapshots and replayed has the same bytes"
+)
+def step_identical(context: Any, count: int) -> None:
+    replica = context.replica
+    expected = replica.machine.snapshot()
+    assert len(context.snapshots) == count
+    for number, data in context.snapshots:
+        machine = StateMachine(replica.limits)
+        machine.restore(data)
+        assert machine.snapshot() == data, number
+        for index, payload in enumerate(replica.log[number:], start=number + 1):
+            machine.apply(LogIndex(index), payload)
+        assert machine.snapshot() == expected, number
+
+
+@then("the random state commands reached every kind of record")
+def step_reached(context: Any) -> None:
+    met: set[str] = set()
+    for _, data in [*context.snapshots, (0, context.replica.machine.snapshot())]:
+        document = orjson.loads(data)
+        for partition in document["claims"]["partitions"].values():
+            met |= {record["state"] for record in partition["records"].values()}
+        parts = {**document["edits"], "quarantine": document["quarantine"]}
+        met |= {name for name, part in parts.items() if part}
+        met |= {"dropped"} if document["audit"]["dropped_sequence"] else set()
+    expected = {"claimed", "done", "abandoned", "closed", "dropped", "quarantine"}
+    assert met == expected | {"oldest", "changes", "winners", "verdicts"}, met
+
+
+@then("each of {count:d} damaged snapshots is refused without a change, seed {seed:d}")
+def step_damaged(context: Any, count: int, seed: int) -> None:
+    rng = random.Random(seed)
+    machine = context.replica.machine
+    data = machine.snapshot()
+    document = orjson.loads(data)
+    damaged = [data[: rng.randrange(len(data))] for _ in range(count // 2)]
+    for number in range(count - len(damaged)):
+        copy = orjson.loads(data)
+        name = sorted(document)[number % len(document)]
+        copy[name] = rng.choice([None, "text", -1, [[]]])
+        damaged.append(orjson.dumps(copy))
+    for broken in damaged:
+        try:
+            machine.restore(broken)
+        except InvalidSnapshotError:
+            assert machine.snapshot() == data
+        else:
+            raise AssertionError(f"restored {broken[:80]!r}")
