--- a/packages/replay/src/marjoramstep_replay/backend_server/server.py
+++ b/packages/replay/src/marjoramstep_replay/backend_server/server.py
@@ -114,25 +114,19 @@
             return web.Response(status=400, text=f"bad {DEADLINE_HEADER}: {text!r}\n")
         try:
             async with asyncio.timeout(deadline_seconds):
-                body = await request.read()
                 await self._slots.acquire()
                 try:
-                    return await self._run(request, body)
+                    return await self._run(request)
                 finally:
                     self._slots.release()
         except TimeoutError:
             return web.Response(status=504, text="deadline\n")
 
-    async def _run(self, request: web.BaseRequest, body: bytes) -> web.Response:
+    async def _run(self, request: web.BaseRequest) -> web.Response:
         key = request.headers.get(KEY_HEADER, "")
         run = self._run_log.started(key, request.method, request.path_qs)
-        marker = self._profile.crash_marker
-        if marker and (
-            marker in request.headers.get(MARKER_HEADER, "") or marker.encode() in body
-        ):
-            self.crash()
         try:
-            answer = await self._work(request, body, run)
+            answer = await self._work(request, run)
         except asyncio.CancelledError:
             self._run_log.ended(run, "cancelled")
             raise
@@ -142,9 +136,24 @@
         self._run_log.ended(run, "done" if answer.status == 200 else "sub-call failed")
         return answer
 
-    async def _work(
-        self, request: web.BaseRequest, body: bytes, run: int
-    ) -> web.Response:
+    async def _read_body(self, request: web.BaseRequest) -> tuple[int, int]:
+        marker = self._profile.crash_marker.encode()
+        if marker and marker in request.headers.get(MARKER_HEADER, "").encode():
+            self.crash()
+        length, checksum, tail = 0, 0, b""
+        async for part in request.content.iter_any():
+            length += len(part)
+            checksum = zlib.crc32(part, checksum)
+            if marker:
+                # The marker may lie across two parts.
+                tail += part
+                if marker in tail:
+                    self.crash()
+                tail = tail[len(tail) - len(marker) + 1 :] if len(marker) > 1 else b""
+        return length, checksum
+
+    async def _work(self, request: web.BaseRequest, run: int) -> web.Response:
+        length, checksum = await self._read_body(request)
         profile = self._profile.match(request.path)
         work_ms = profile.service_time.draw_ms(self._rng) * self.speed.factor()
         await asyncio.sleep(work_ms / 1000.0)
@@ -155,7 +164,7 @@
         key = request.headers.get(KEY_HEADER, "")
         # Lets the caller check that the whole answer is the one to its own request.
         head = (
-            f"{key} {request.method} {request.path_qs} {len(body)} {zlib.crc32(body)} "
+            f"{key} {request.method} {request.path_qs} {length} {checksum} "
             f"{self._options.name}\n"
         ).encode()
         return web.Response(body=head.ljust(profile.answer_bytes, b"."))
