--- a/features/replay/backend_server.feature
+++ b/features/replay/backend_server.feature
@@ -31,6 +31,6 @@
     And the stand-in's process ended with status 0
 
   Scenario: A deadline ends the run
-    When a request of "/slow" with a deadline of 100 ms is sent to the stand-in
+    When a request of "/slow" is sent to the stand-in with a deadline of 100 ms
     Then the stand-in answered with status 504
     And the stand-in's run log shows the result "cancelled"
--- a/features/steps/replay_backend_server_steps.py
+++ b/features/steps/replay_backend_server_steps.py
@@ -75,9 +75,11 @@
 
 async def _request(context: Any, path: str, **options: Any) -> tuple[int, bytes]:
     url = f"http://{context.standin_address}{path}"
-    async with aiohttp.ClientSession() as session:
-        async with session.post(url, **options) as answer:
-            return answer.status, await answer.read()
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(url, **options) as answer,
+    ):
+        return answer.status, await answer.read()
 
 
 async def _give_up(context: Any, path: str, after_ms: int) -> None:
@@ -139,7 +141,8 @@
 
 
 @when(
-    'a request of "{path}" with a deadline of {deadline_ms:d} ms is sent to the stand-in'
+    'a request of "{path}" is sent to the stand-in with a deadline of '
+    "{deadline_ms:d} ms"
 )
 def step_deadline(context: Any, path: str, deadline_ms: int) -> None:
     headers = {"Marjoramstep-Deadline-Ms": str(deadline_ms)}
