--- a/features/steps/state_machine_steps.py
+++ b/features/steps/state_machine_steps.py
@@ -110,9 +110,9 @@
     operation = EditOperation.from_json(
         {"kind": rng.choice(["set", "add", "drop"]), "row": row, "cells": cells}
     )
-    base_version = rng.randrange(1, 12)
+    base_version = rng.randrange(1, 6)
     return EditTable(
-        now_ms, f"edit-{rng.randrange(30)}", base_version, "ana", "", (operation,)
+        now_ms, f"edit-{rng.randrange(100)}", base_version, "ana", "", (operation,)
     )
 
 
