--- /dev/null
+++ b/features/policy/routing.feature
@@ -0,0 +1,118 @@
+Feature: Choice of the backend server
+  Guards against traffic to slowed, overloaded, leaving and cold backend servers, and
+  against a herd towards one that comes back.
+
+  Scenario Outline: A slowed backend server loses its traffic within 20 requests
+    Given 1 "<router>" router with 6 warm backend servers and seed <seed>
+    When backend server "s0" becomes <slowdown> times slower
+    And 20 requests are routed
+    And the next 300 requests are routed and counted
+    Then backend server "s0" got <verdict> of the counted requests
+
+    Examples:
+      | router      | seed | slowdown | verdict        |
+      | two-choices | 1    | 10       | at most 2%     |
+      | two-choices | 2    | 20       | at most 2%     |
+      | two-choices | 3    | 100000   | at most 2%     |
+      | uniform     | 1    | 10       | more than 10%  |
+      | uniform     | 3    | 100000   | more than 10%  |
+
+  Scenario Outline: A slowed backend server gets one probe at a time, ever more rarely
+    Given 1 "two-choices" router with 6 warm backend servers and seed <seed>
+    When backend server "s0" becomes 60 times slower
+    And 40 requests are routed
+    And requests are routed and counted for 20 seconds
+    Then backend server "s0" never had two counted requests at once
+    And the pauses between its counted requests grow to over 5 seconds
+
+    Examples:
+      | seed |
+      | 4    |
+      | 5    |
+
+  Scenario Outline: A recovered backend server comes back without a herd
+    Given 20 "two-choices" routers with 6 warm backend servers and seed <seed>
+    When backend server "s0" becomes 20 times slower
+    And requests are routed and counted for 5 seconds
+    And backend server "s0" recovers
+    And requests are routed and counted for 30 seconds
+    Then backend server "s0" never got over 150% of its fair share in 1000 ms
+    And backend server "s0" got over 70% of its fair share in the last 3 seconds
+
+    Examples:
+      | seed |
+      | 6    |
+      | 7    |
+
+  Scenario Outline: The share of a recovered backend server rises slowly
+    Given 1 "two-choices" router with 6 warm backend servers and seed <seed>
+    When backend server "s0" becomes 20 times slower
+    And 500 requests are routed
+    And backend server "s0" recovers
+    And requests are routed and counted for 10 seconds
+    Then backend server "s0" got under 50% of its fair share after probe 3
+    And backend server "s0" got over 70% of its fair share in the last 3 seconds
+
+    Examples:
+      | seed |
+      | 15   |
+      | 16   |
+
+  Scenario: A slowdown of all backend servers leaves at least half of them in use
+    Given 1 "two-choices" router with 6 warm backend servers and seed 8
+    When every backend server becomes 20 times slower
+    And 40 requests are routed
+    And the next 300 requests are routed and counted
+    Then at least 3 backend servers got over 5% of the counted requests
+
+  Scenario Outline: Calls leave an overloaded zone and do not enter one
+    Given a router in zone a with 3 backend servers in each of zones a, b and c
+    And answers take <a_ms>, <b_ms> and 20 ms from zones a, b and c
+    And zone "<full>" is overloaded
+    When 200 requests are routed among the zones with seed 9
+    Then zone "<most>" gets over <percent>% and zone "<unused>" gets none
+
+    Examples:
+      | a_ms | b_ms | full | most | percent | unused |
+      | 5    | 6    | none | a    | 85      | c      |
+      | 5    | 6    | a    | b    | 75      | a      |
+      | 30   | 5    | none | b    | 60      | none   |
+      | 30   | 5    | b    | a    | 40      | b      |
+
+  Scenario Outline: A new or restarted backend server ramps up over 10 s
+    Given 20 "<router>" routers with 6 warm backend servers and seed 10
+    When backend server "s0" restarts with a new incarnation
+    And requests are routed and counted for 1 seconds
+    Then backend server "s0" got <early> of its fair share
+    When requests are routed and counted for 10 seconds
+    And requests are routed and counted for 3 seconds
+    Then backend server "s0" got over 70% of its fair share in the last 3 seconds
+
+    Examples:
+      | router      | early     |
+      | two-choices | under 25% |
+      | uniform     | over 70%  |
+
+  Scenario: Backend servers that are starting, draining or excluded are not picked
+    Given 1 "two-choices" router with 6 warm backend servers and seed 11
+    When "s0" is starting, "s1" is draining, "s2" refuses as draining and "s3" is excluded
+    Then 2000 picks choose only "s4" and "s5"
+    And a pick that excludes "s4" and "s5" as well finds none
+
+  Scenario: A refusal for overload lowers the share for a short time
+    Given 1 "two-choices" router with 6 warm backend servers and seed 12
+    When backend server "s0" refuses 4 calls for overload
+    Then backend server "s0" gets under 40% of its fair share of 100 requests
+    And 2 seconds later it gets over 80% of its fair share of 2000 requests
+
+  Scenario: Old load counts less than fresh load
+    Given 1 "two-choices" router with 6 warm backend servers and seed 13
+    When backend server "s0" reports a long queue that is 10 s old
+    Then backend server "s0" gets over 80% of its fair share of 2000 requests
+    When backend server "s0" reports a long queue that is 0 s old
+    Then backend server "s0" gets under 40% of its fair share of 2000 requests
+
+  Scenario: State is bounded by the members
+    Given 1 "two-choices" router with 6 warm backend servers and seed 14
+    When the members are replaced 500 times with calls in flight
+    Then the router tracks 6 backend servers, and none once the service is gone
--- /dev/null
+++ b/features/steps/policy_routing_steps.py
@@ -0,0 +1,348 @@
+"""Steps for the choice of the backend server."""
+
+from __future__ import annotations
+
+import heapq
+from collections import Counter
+from random import Random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.ids import NodeId
+from marjoramstep_core.ids import ServerId
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.ids import ZoneName
+from marjoramstep_core.states import ServerState
+from marjoramstep_policy.routing import ROUTERS
+from marjoramstep_policy.routing import CallResult
+from marjoramstep_policy.routing import RouteLoad
+from marjoramstep_policy.routing import RouteMember
+
+
+SERVICE = ServiceName("tariffs")
+LATENCY_MS = 5.0
+GAP_MS = 2.0
+WARM_REQUESTS = 600
+
+
+def _member(
+    name: str,
+    zone: str = "a",
+    state: ServerState = ServerState.READY,
+    incarnation: int = 1,
+) -> RouteMember:
+    server_id, node_id = ServerId(name), NodeId(f"n-{name}")
+    return RouteMember(
+        server_id, node_id, "127.0.0.1:1", ZoneName(zone), 40, 350, state, incarnation
+    )
+
+
+class RouteWorld:
+    """Routers that call the same backend servers, on one manual clock."""
+
+    def __init__(
+        self, router: str, routers: int, members: list[RouteMember], seed: int
+    ) -> None:
+        self.clock = ManualClock(1000.0)
+        self.rng = Random(seed)
+        self.latency_ms = {str(m.server_id): LATENCY_MS for m in members}
+        self.load: dict[str, RouteLoad] = {}
+        self.routers = [
+            ROUTERS.get(router)(self.clock, Random(seed * 100 + n), ZoneName("a"))
+            for n in range(routers)
+        ]
+        self.ends: list[tuple[float, int, Any, str, float]] = []
+        self.calls: list[tuple[float, float, str]] = []
+        self.update(members)
+
+    def update(self, members: list[RouteMember]) -> None:
+        self.members = members
+        for router in self.routers:
+            router.update_members(SERVICE, members)
+
+    def run(self, requests: int) -> None:
+        for _ in range(requests):
+            self._pass(GAP_MS)
+            router = self.rng.choice(self.routers)
+            picked = router.pick(SERVICE, frozenset())
+            assert picked is not None
+            name = str(picked.server_id)
+            took_ms = self.latency_ms[name] * self.rng.uniform(0.7, 1.5)
+            start_ms = self.clock.now_ms()
+            router.started(picked.server_id)
+            self.calls.append((start_ms, start_ms + took_ms, name))
+            end = (start_ms + took_ms, len(self.calls), router, name, took_ms)
+            heapq.heappush(self.ends, end)
+
+    def count_from_now(self) -> None:
+        self.calls.clear()
+
+    def shares(self) -> dict[str, float]:
+        counts = Counter(name for _, _, name in self.calls)
+        return {name: count / len(self.calls) for name, count in counts.items()}
+
+    def _pass(self, step_ms: float) -> None:
+        target_ms = self.clock.now_ms() + step_ms
+        while self.ends and self.ends[0][0] <= target_ms:
+            end_ms, _, router, name, took_ms = heapq.heappop(self.ends)
+            self.clock.advance_ms(max(0.0, end_ms - self.clock.now_ms()))
+            load, answered = self.load.get(name), CallResult.ANSWERED
+            router.finished(ServerId(name), took_ms, answered, load)
+        self.clock.advance_ms(max(0.0, target_ms - self.clock.now_ms()))
+
+
+@given('{n:d} "{router}" router with {count:d} warm backend servers and seed {seed:d}')
+@given('{n:d} "{router}" routers with {count:d} warm backend servers and seed {seed:d}')
+def step_world(context: Any, n: int, router: str, count: int, seed: int) -> None:
+    members = [_member(f"s{index}") for index in range(count)]
+    context.world = RouteWorld(router, n, members, seed)
+    context.world.run(WARM_REQUESTS * n)
+
+
+@when('backend server "{name}" becomes {factor:d} times slower')
+def step_slow(context: Any, name: str, factor: int) -> None:
+    context.world.latency_ms[name] = LATENCY_MS * factor
+
+
+@when("every backend server becomes {factor:d} times slower")
+def step_slow_all(context: Any, factor: int) -> None:
+    for name in context.world.latency_ms:
+        step_slow(context, name, factor)
+
+
+@when('backend server "{name}" recovers')
+def step_recovers(context: Any, name: str) -> None:
+    context.world.latency_ms[name] = LATENCY_MS
+
+
+@when("{count:d} requests are routed")
+def step_route(context: Any, count: int) -> None:
+    context.world.run(count)
+
+
+@when("the next {count:d} requests are routed and counted")
+def step_count(context: Any, count: int) -> None:
+    context.world.count_from_now()
+    context.world.run(count)
+
+
+@when("requests are routed and counted for {seconds:d} seconds")
+def step_count_seconds(context: Any, seconds: int) -> None:
+    step_count(context, int(seconds * 1000 / GAP_MS))
+
+
+@then('backend server "{name}" got at most {percent:d}% of the counted requests')
+def step_at_most(context: Any, name: str, percent: int) -> None:
+    share = context.world.shares().get(name, 0.0)
+    assert share <= percent / 100, share
+
+
+@then('backend server "{name}" got more than {percent:d}% of the counted requests')
+def step_more_than(context: Any, name: str, percent: int) -> None:
+    share = context.world.shares().get(name, 0.0)
+    assert share > percent / 100, share
+
+
+@then('backend server "{name}" never had two counted requests at once')
+def step_one_at_a_time(context: Any, name: str) -> None:
+    context.probes = [call for call in context.world.calls if call[2] == name]
+    assert len(context.probes) >= 4, context.probes
+    for before, after in zip(context.probes, context.probes[1:], strict=False):
+        assert after[0] >= before[1], (before, after)
+
+
+@then("the pauses between its counted requests grow to over {seconds:d} seconds")
+def step_pauses(context: Any, seconds: int) -> None:
+    probes = context.probes
+    pauses = [b[0] - a[1] for a, b in zip(probes, probes[1:], strict=False)]
+    # The jitter spreads a doubled pause over 1.2 to 3.3 times the one before.
+    grows = [after > before for before, after in zip(pauses, pauses[1:], strict=False)]
+    assert all(grows), pauses
+    assert pauses[-1] > seconds * 1000, pauses
+
+
+@then(
+    'backend server "{name}" never got over {percent:d}% of its fair share in {ms:d} ms'
+)
+def step_no_herd(context: Any, name: str, percent: int, ms: int) -> None:
+    totals: Counter[int] = Counter()
+    own: Counter[int] = Counter()
+    for start_ms, _, called in context.world.calls:
+        totals[int(start_ms // ms)] += 1
+        own[int(start_ms // ms)] += called == name
+    fair = 1 / len(context.world.members)
+    # The first and the last window are cut off.
+    worst = max(own[w] / totals[w] for w in sorted(totals)[1:-1]) / fair
+    assert worst <= percent / 100, worst
+
+
+@then(
+    'backend server "{name}" got under {percent:d}% of its fair share after probe {n:d}'
+)
+def step_after_probes(context: Any, name: str, percent: int, n: int) -> None:
+    world = context.world
+    ends = [end_ms for _, end_ms, called in world.calls if called == name]
+    since_ms = ends[n - 1]
+    after = [c for start, _, c in world.calls if since_ms < start < since_ms + 1000]
+    share = after.count(name) / len(after) * len(world.members)
+    assert 0 < share < percent / 100, share
+
+
+@then(
+    'backend server "{name}" got over {percent:d}% of its fair share'
+    " in the last {seconds:d} seconds"
+)
+def step_back(context: Any, name: str, percent: int, seconds: int) -> None:
+    since_ms = context.world.clock.now_ms() - seconds * 1000
+    last = [called for start, _, called in context.world.calls if start >= since_ms]
+    share = last.count(name) / len(last) * len(context.world.members)
+    assert share > percent / 100, share
+
+
+@then(
+    "at least {count:d} backend servers got over {percent:d}% of the counted requests"
+)
+def step_spread(context: Any, count: int, percent: int) -> None:
+    shares = context.world.shares()
+    assert sum(s > percent / 100 for s in shares.values()) >= count, shares
+
+
+@given("a router in zone a with {count:d} backend servers in each of zones a, b and c")
+def step_zones(context: Any, count: int) -> None:
+    members = [_member(f"{zone}{n}", zone) for zone in "abc" for n in range(count)]
+    context.world = RouteWorld("two-choices", 1, members, 9)
+
+
+@given("answers take {a:d}, {b:d} and {c:d} ms from zones a, b and c")
+def step_zone_latency(context: Any, a: int, b: int, c: int) -> None:
+    for name in context.world.latency_ms:
+        context.world.latency_ms[name] = float({"a": a, "b": b, "c": c}[name[0]])
+
+
+@given('zone "{full}" is overloaded')
+def step_zone_full(context: Any, full: str) -> None:
+    world = context.world
+    for name in world.latency_ms:
+        queued = 40 if name.startswith(full) else 0
+        world.load[name] = RouteLoad(40 if queued else 1, 40, queued)
+
+
+@when("{count:d} requests are routed among the zones with seed {seed:d}")
+def step_route_zones(context: Any, count: int, seed: int) -> None:
+    world = context.world
+    world.rng.seed(seed)
+    for _ in range(10):
+        for member in world.members:
+            name = str(member.server_id)
+            world.routers[0].started(member.server_id)
+            world.routers[0].finished(
+                member.server_id, 0.0, CallResult.CANCELLED, world.load[name]
+            )
+            world.clock.advance_ms(world.latency_ms[name])
+            world.routers[0].finished(
+                member.server_id,
+                world.latency_ms[name],
+                CallResult.ANSWERED,
+                world.load[name],
+            )
+    world.run(count)
+
+
+@then('zone "{most}" gets over {percent:d}% and zone "{unused}" gets none')
+def step_zones_used(context: Any, most: str, percent: int, unused: str) -> None:
+    zones = [name[0] for _, _, name in context.world.calls]
+    assert zones.count(most) > len(zones) * percent / 100, Counter(zones)
+    assert zones.count(unused) == 0, Counter(zones)
+
+
+@when('backend server "{name}" restarts with a new incarnation')
+def step_restart(context: Any, name: str) -> None:
+    members = context.world.members
+    context.world.update(
+        [_member(name, incarnation=2) if m.server_id == name else m for m in members]
+    )
+
+
+@then('backend server "{name}" got {bound} {percent:d}% of its fair share')
+def step_fair_share(context: Any, name: str, bound: str, percent: int) -> None:
+    share = context.world.shares().get(name, 0.0) * len(context.world.members)
+    assert {"under": share < percent / 100, "over": share > percent / 100}[bound], share
+
+
+@when(
+    '"s0" is starting, "s1" is draining, "s2" refuses as draining and "s3" is excluded'
+)
+def step_not_ready(context: Any) -> None:
+    world = context.world
+    states = {"s0": ServerState.STARTING, "s1": ServerState.DRAINING}
+    names = [str(m.server_id) for m in world.members]
+    world.update([_member(n, state=states.get(n, ServerState.READY)) for n in names])
+    refusal = CallResult.REFUSED_DRAINING
+    world.routers[0].finished(ServerId("s2"), 1.0, refusal, None)
+    context.excluded = frozenset({ServerId("s3")})
+
+
+@then('{count:d} picks choose only "s4" and "s5"')
+def step_only(context: Any, count: int) -> None:
+    router = context.world.routers[0]
+    picked = {router.pick(SERVICE, context.excluded).server_id for _ in range(count)}
+    assert picked and picked <= {"s4", "s5"}, picked
+
+
+@then('a pick that excludes "s4" and "s5" as well finds none')
+def step_none(context: Any) -> None:
+    excluded = context.excluded | {ServerId("s4"), ServerId("s5")}
+    assert context.world.routers[0].pick(SERVICE, excluded) is None
+
+
+@when('backend server "{name}" refuses {count:d} calls for overload')
+def step_refuses(context: Any, name: str, count: int) -> None:
+    for _ in range(count):
+        context.world.routers[0].started(ServerId(name))
+        refusal = CallResult.REFUSED_OVERLOAD
+        context.world.routers[0].finished(ServerId(name), 0.0, refusal, None)
+
+
+@then(
+    'backend server "{name}" gets {bound} {percent:d}% of its fair share'
+    " of {count:d} requests"
+)
+def step_next_share(
+    context: Any, name: str, bound: str, percent: int, count: int
+) -> None:
+    context.watched = name
+    step_count(context, count)
+    step_fair_share(context, name, bound, percent)
+
+
+@then(
+    "{s:d} seconds later it gets over {percent:d}% of its fair share of {n:d} requests"
+)
+def step_next_share_later(context: Any, s: int, percent: int, n: int) -> None:
+    context.world.clock.advance_ms(s * 1000)
+    step_next_share(context, context.watched, "over", percent, n)
+
+
+@when('backend server "{name}" reports a long queue that is {age:d} s old')
+def step_load(context: Any, name: str, age: int) -> None:
+    context.world.load[name] = RouteLoad(40, 40, 40, age * 1000.0)
+    context.world.run(200)
+
+
+@when("the members are replaced {count:d} times with calls in flight")
+def step_replace(context: Any, count: int) -> None:
+    for turn in range(count):
+        context.world.routers[0].started(context.world.members[0].server_id)
+        context.world.update([_member(f"t{turn}-{n}") for n in range(6)])
+
+
+@then("the router tracks {count:d} backend servers, and none once the service is gone")
+def step_tracked(context: Any, count: int) -> None:
+    router = context.world.routers[0]
+    assert router.tracked_servers() == count, router.tracked_servers()
+    router.update_members(SERVICE, [])
+    assert router.tracked_servers() == 0
+    assert router.pick(SERVICE, frozenset()) is None
--- a/packages/policy/src/marjoramstep_policy/routing/router.py
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.registry import Registry
 from marjoramstep_core.states import ServerState
 from marjoramstep_core.states import SizeClass
 
 from .members import CallResult
 from .server_state import FAILURES_TO_SUSPEND
+from .server_state import LEAVING_MS
 from .server_state import NEW_RAMP_MS
 from .server_state import START_TOLERANCE_MS
 from .server_state import ServerRecord
@@ -132,7 +135,10 @@
             return
         record.in_flight += 1
         if size_class is SizeClass.SHORT:
-            record.add_start(self._clock.now_ms())
+            now_ms = self._clock.now_ms()
+            record.add_start(now_ms)
+            if record.suspended and record.probe_at_ms is None:
+                record.probe_at_ms = now_ms
 
     def finished(
         self,
@@ -149,7 +155,14 @@
         :param result: how it ended
         :param load: load carried on the answer, ``None`` without one
         :param size_class: class of the call, as given to ``started``
+        :raises InvalidInputError: if the latency is negative or not finite
         """
+        if not 0.0 <= latency_ms < math.inf:
+            raise InvalidInputError(
+                f"latency_ms must be finite and not negative, got {latency_ms}",
+                step="finish call",
+                peer=server_id,
+            )
         group = self._group_of.get(server_id)
         record = self._record(server_id)
         if group is None or record is None:
@@ -166,6 +179,9 @@
             record.remove_start(start_ms)
         if result is CallResult.REFUSED_OVERLOAD:
             record.add_refusal(now_ms)
+        if result is CallResult.REFUSED_DRAINING:
+            record.leaving_until_ms = now_ms + LEAVING_MS
+            group.refresh(now_ms)
         if record.suspended:
             self._finish_suspended(group, record, start_ms, latency_ms, result)
             return
@@ -188,7 +204,7 @@
     def _due_probe(self, group: ServiceGroup, now_ms: float) -> ServerRecord | None:
         for record in group.suspended:
             if record.is_probe_due(now_ms):
-                record.probe_at_ms = now_ms
+                record.reserve_probe(now_ms, self._jitter())
                 return record
         return None
 
@@ -262,6 +278,12 @@
     ) -> bool:
         if record.suspended or not group.reference_ms:
             return False
+        if not record.is_overdue(now_ms, group.reference_ms):
+            return False
+        if not group.may_suspend():
+            return False
+        # Decided again with a fresh median, which a slowdown of all members raises.
+        group.refresh(now_ms)
         if not record.is_overdue(now_ms, group.reference_ms):
             return False
         return self._suspend(group, record, now_ms)
@@ -297,9 +319,11 @@
         if size_class is SizeClass.LONG:
             return
         record.add_latency(latency_ms, group.reference_ms)
-        slow_ms = slow_limit_ms(group.reference_ms)
-        if group.reference_ms and (record.latency_ms or 0.0) > slow_ms:
-            self._suspend(group, record, now_ms)
+        measured_ms = record.latency_ms or 0.0
+        if group.reference_ms and measured_ms > slow_limit_ms(group.reference_ms):
+            group.refresh(now_ms)
+            if measured_ms > slow_limit_ms(group.reference_ms):
+                self._suspend(group, record, now_ms)
 
     def _finish_suspended(
         self,
@@ -315,6 +339,10 @@
         now_ms = self._clock.now_ms()
         limit_ms = slow_limit_ms(group.reference_ms)
         is_good = result is CallResult.ANSWERED and latency_ms <= limit_ms
+        if result is CallResult.CANCELLED and latency_ms <= limit_ms:
+            # Cancelled before it showed anything; the next probe follows as planned.
+            record.probe_at_ms = None
+            return
         if record.finish_probe(is_good, now_ms, self._jitter()):
             record.recover(latency_ms, now_ms)
             group.refresh(now_ms)
--- a/packages/policy/src/marjoramstep_policy/routing/server_state.py
+++ b/packages/policy/src/marjoramstep_policy/routing/server_state.py
@@ -21,6 +21,13 @@
 # A single overdue call needs a larger multiple than two of them, because the latency
 # of one call varies more.
 SINGLE_OVERDUE_FACTOR = 10.0
+# Assumed while no member of the service has answered.
+UNKNOWN_LATENCY_MS = 1.0
+# A latency above the median that isn't measured again moves halfway to the median in
+# this time. Otherwise a server that is a little slower would never be picked again.
+LATENCY_HALF_LIFE_MS = 2000.0
+# A refusal for draining keeps traffic away until the member update arrives.
+LEAVING_MS = 5000.0
 # After this time the load carried on an answer counts half.
 LOAD_HALF_LIFE_MS = 500.0
 # A queued request delays a new one more than a running one does.
@@ -55,6 +62,7 @@
         "good_probes",
         "in_flight",
         "latency_ms",
+        "leaving_until_ms",
         "load_at_ms",
         "load_pressure",
         "load_is_full",
@@ -76,6 +84,7 @@
         self.in_flight = 0
         self.latency_ms: float | None = None
         self.starts_ms: list[float] = []
+        self.leaving_until_ms = 0.0
         self.load_pressure = 0.0
         self.load_at_ms = 0.0
         self.load_is_full = False
@@ -99,7 +108,7 @@
         """
         latency_ms = self.latency_ms
         if latency_ms is None:
-            latency_ms = reference_ms
+            latency_ms = reference_ms or UNKNOWN_LATENCY_MS
         score = (self.in_flight + 1) * latency_ms
         if self.load_pressure:
             age_ms = now_ms - self.load_at_ms
@@ -191,6 +200,26 @@
             return True
         return self._refusal_share(now_ms) < 0.5
 
+    def observed_ms(self, now_ms: float) -> float | None:
+        """Return the latency, or the age of the oldest call in flight if longer.
+
+        :param now_ms: current time in milliseconds
+        :return: milliseconds, ``None`` when the server has not answered yet
+        """
+        if self.latency_ms is None or not self.starts_ms:
+            return self.latency_ms
+        return max(self.latency_ms, now_ms - self.starts_ms[0])
+
+    def decay_latency(self, elapsed_ms: float, reference_ms: float) -> None:
+        """Move a latency above the median towards it.
+
+        :param elapsed_ms: time since the last call in milliseconds
+        :param reference_ms: median of the service in milliseconds
+        """
+        if self.latency_ms is not None and self.latency_ms > reference_ms:
+            kept = 0.5 ** (elapsed_ms / LATENCY_HALF_LIFE_MS)
+            self.latency_ms = reference_ms + kept * (self.latency_ms - reference_ms)
+
     def is_overdue(self, now_ms: float, reference_ms: float) -> bool:
         """Tell whether calls in flight show that the server is slowed.
 
@@ -227,6 +256,14 @@
         """
         return self.probe_at_ms is None and now_ms >= self.next_probe_ms
 
+    def reserve_probe(self, now_ms: float, jitter: float) -> None:
+        """Let no other call become a probe before the next interval.
+
+        :param now_ms: current time in milliseconds
+        :param jitter: factor on the interval
+        """
+        self.next_probe_ms = now_ms + self.probe_interval_ms * jitter
+
     def finish_probe(self, is_good: bool, now_ms: float, jitter: float) -> bool:
         """Count the result of a probe; a bad one doubles the interval.
 
--- a/packages/policy/src/marjoramstep_policy/routing/service_group.py
+++ b/packages/policy/src/marjoramstep_policy/routing/service_group.py
@@ -31,6 +31,7 @@
 
     __slots__ = (
         "_own_zone",
+        "_refreshed_ms",
         "local",
         "next_refresh_ms",
         "ready_count",
@@ -53,6 +54,7 @@
         self.ready_count = 0
         self.reference_ms = 0.0
         self.next_refresh_ms = 0.0
+        self._refreshed_ms = 0.0
 
     def refresh(self, now_ms: float) -> None:
         """Compute the lists, the zones' overload and the median latency again.
@@ -63,6 +65,7 @@
             record
             for record in self.records.values()
             if record.member.state is ServerState.READY
+            and now_ms >= record.leaving_until_ms
         ]
         overloaded_zones = _overloaded_zones(ready, now_ms)
         self.next_refresh_ms = now_ms + REFRESH_MS
@@ -79,12 +82,22 @@
                 self.remote_overloaded.append(record)
             else:
                 self.remote.append(record)
-        latencies = sorted(
-            record.latency_ms for record in ready if record.latency_ms is not None
-        )
+        self._measure(ready, now_ms)
+
+    def _measure(self, ready: list[ServerRecord], now_ms: float) -> None:
+        elapsed_ms = now_ms - self._refreshed_ms
+        self._refreshed_ms = now_ms
+        # Calls in flight count with their age. A slowdown of the whole service then
+        # raises the median too, and its members are not suspended one after another.
+        observed = [record.observed_ms(now_ms) for record in ready]
+        latencies = sorted(value for value in observed if value is not None)
+        if not latencies:
+            return
         # The lower median, so that of two members the faster one is the reference.
-        if latencies:
-            self.reference_ms = latencies[(len(latencies) - 1) // 2]
+        self.reference_ms = latencies[(len(latencies) - 1) // 2]
+        for record in ready:
+            if not record.suspended:
+                record.decay_latency(elapsed_ms, self.reference_ms)
 
     def may_suspend(self) -> bool:
         """Tell whether one more member may be suspended for slowness.
