--- /dev/null
+++ b/features/steps/policy_quarantine_steps.py
@@ -0,0 +1,197 @@
+"""Steps for the quarantine."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.ids import Fingerprint
+from marjoramstep_core.ids import ServerId
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_policy.quarantine import FINGERPRINT_BODY_BYTES
+from marjoramstep_policy.quarantine import QUARANTINE_LISTS
+from marjoramstep_policy.quarantine import CrashTracker
+from marjoramstep_policy.quarantine import FingerprintBuilder
+from marjoramstep_policy.quarantine import fingerprint_request
+
+
+SERVICE = ServiceName("audits")
+SERVER = ServerId("server-1")
+
+
+def _flip(body: bytes, index: int) -> bytes:
+    return body[:index] + bytes([body[index] ^ 1]) + body[index + 1 :]
+
+
+@given("the fingerprint of a POST request with a body of {size:d} bytes")
+def step_fingerprint(context: Any, size: int) -> None:
+    context.body = Random(1).randbytes(size)
+    context.parts = (SERVICE, "POST", "/book", size, context.body)
+    context.value = fingerprint_request(*context.parts)
+
+
+@then("it is equal when the body arrives in random parts, with {seeds:d} seeds")
+def step_random_parts(context: Any, seeds: int) -> None:
+    for seed in range(seeds):
+        rng, rest = Random(seed), context.body
+        builder = FingerprintBuilder(*context.parts[:4])
+        while rest:
+            size = rng.randint(0, 40_000)
+            builder.add(rest[:size])
+            rest = rest[size:]
+        assert builder.is_complete
+        assert builder.value() == context.value
+
+
+@then("it is equal when only a byte after the first {count:d} differs")
+def step_late_byte(context: Any, count: int) -> None:
+    assert count == FINGERPRINT_BODY_BYTES
+    other = _flip(context.body, count)
+    assert fingerprint_request(*context.parts[:4], other) == context.value
+
+
+@then("it differs when service, method, path, length or an early byte differs")
+def step_differs(context: Any) -> None:
+    early = _flip(context.body, FINGERPRINT_BODY_BYTES - 1)
+    others = (ServiceName("other"), "PUT", "/book2", None, early)
+    values = {context.value}
+    for index, other in enumerate(others):
+        parts = (*context.parts[:index], other, *context.parts[index + 1 :])
+        values.add(fingerprint_request(*parts))
+    assert len(values) == 1 + len(others), values
+
+
+@then("it differs when a boundary between two fields moves")
+def step_boundary(context: Any) -> None:
+    first = fingerprint_request(SERVICE, "GET", "/a", 1, b"1")
+    assert first != fingerprint_request(SERVICE, "GET/", "a", 1, b"1")
+    assert first != fingerprint_request(SERVICE, "GET", "/a", 11, b"")
+
+
+def _start_calls(tracker: CrashTracker, incarnation: int) -> None:
+    for call_id, name in enumerate("abcdee"):
+        tracker.started(100 * incarnation + call_id, incarnation, Fingerprint(name))
+
+
+@given("a backend server with 6 calls in flight, 2 of them with equal fingerprints")
+def step_in_flight(context: Any) -> None:
+    context.tracker = CrashTracker(SERVER, SERVICE)
+    _start_calls(context.tracker, 1)
+
+
+@when(
+    "it crashes {crashes:d} times, seen on every connection and resent, seed {seed:d}"
+)
+def step_crashes(context: Any, crashes: int, seed: int) -> None:
+    context.reports, context.suspects, context.crashes = [], set(), crashes
+    for incarnation in range(1, crashes + 1):
+        if incarnation > 1:
+            _start_calls(context.tracker, incarnation)
+        for call in range(6):
+            seen = context.tracker.crashed(incarnation)
+            context.reports += seen.reports
+            context.suspects |= seen.call_ids
+            context.tracker.finished(100 * incarnation + call)
+    context.reports += Random(seed).choices(context.reports, k=200)
+
+
+@then("every fingerprint in flight is counted {count:d} times by distinct report ids")
+def step_counted(context: Any, count: int) -> None:
+    ids: dict[str, set[str]] = {}
+    for report in context.reports:
+        ids.setdefault(report.fingerprint, set()).add(report.report_id)
+    assert {name: len(seen) for name, seen in ids.items()} == dict.fromkeys(
+        "abcde", count
+    ), ids
+
+
+@then("every call in flight is named as a suspect that must not be retried")
+def step_suspects(context: Any) -> None:
+    expected = {
+        100 * incarnation + call
+        for incarnation in range(1, context.crashes + 1)
+        for call in range(6)
+    }
+    assert context.suspects == expected, context.suspects
+    assert context.tracker.in_flight() == 0
+
+
+@when("it crashes, and its node restarts and sees the same crash again")
+def step_node_restart(context: Any) -> None:
+    restarted = CrashTracker(SERVER, SERVICE)
+    _start_calls(restarted, 1)
+    context.both = [t.crashed(1).reports for t in (context.tracker, restarted)]
+
+
+@then("both trackers made the same report ids")
+def step_same_ids(context: Any) -> None:
+    assert len(context.both[0]) == 5, context.both
+    assert context.both[0] == context.both[1], context.both
+
+
+@when("it crashes and restarts, a new call starts and the old crash is seen again")
+def step_late_sign(context: Any) -> None:
+    assert len(context.tracker.crashed(1).call_ids) == 6
+    for call in range(6):
+        context.tracker.finished(100 + call)
+    context.tracker.started(200, 2, Fingerprint("a"))
+    context.late = context.tracker.crashed(1)
+
+
+@then("no new crash suspect is named")
+def step_no_suspect(context: Any) -> None:
+    assert not context.late.call_ids and not context.late.reports, context.late
+
+
+@given('a "{variant}" quarantine list for {entries:d} entries')
+def step_list(context: Any, variant: str, entries: int) -> None:
+    context.clock = ManualClock(5000.0)
+    context.list = QUARANTINE_LISTS.get(variant)(context.clock, entries)
+
+
+@when("a fingerprint is quarantined for {ms:d} ms and noticed again with {more:d} ms")
+def step_quarantine(context: Any, ms: int, more: int) -> None:
+    context.list.add(SERVICE, Fingerprint("a"), float(ms))
+    context.list.add(SERVICE, Fingerprint("a"), float(more))
+
+
+@then("it is {early} after {first:d} s and let through after {second:d} s")
+def step_expiry(context: Any, early: str, first: int, second: int) -> None:
+    context.clock.advance_ms(first * 1000)
+    refused = context.list.is_quarantined(SERVICE, Fingerprint("a"))
+    assert refused == (early == "refused")
+    assert not context.list.is_quarantined(ServiceName("other"), Fingerprint("a"))
+    context.clock.advance_ms((second - first) * 1000)
+    assert not context.list.is_quarantined(SERVICE, Fingerprint("a"))
+    assert context.list.entries() == []
+
+
+@when("{count:d} fingerprints are quarantined for 1 s to {seconds:d} s")
+def step_many(context: Any, count: int, seconds: int) -> None:
+    order = list(range(1, seconds + 1))
+    Random(3).shuffle(order)
+    for second in order:
+        context.list.add(SERVICE, Fingerprint(f"f{second}"), second * 1000.0)
+
+
+@then("the quarantine list holds the {count:d} entries with the most time left")
+def step_kept(context: Any, count: int) -> None:
+    kept = sorted(entry.remaining_ms for entry in context.list.entries())
+    assert kept == [1000.0 * second for second in range(451, 501)], kept
+
+
+@then("quarantine times of -1, infinity and NaN are refused as invalid")
+def step_bad_times(context: Any) -> None:
+    for bad_ms in (-1.0, math.inf, math.nan):
+        try:
+            context.list.add(SERVICE, Fingerprint("f500"), bad_ms)
+        except InvalidInputError:
+            continue
+        raise AssertionError(f"{bad_ms} was accepted")
+    assert context.list.is_quarantined(SERVICE, Fingerprint("f500"))
--- a/features/steps/policy_retries_steps.py
+++ b/features/steps/policy_retries_steps.py
@@ -108,7 +108,7 @@
     context.results = []
     for number in range(requests):
         world.begin()
-        for resend in range(resends + 1):
+        for _ in range(resends + 1):
             clock.advance_ms(10)
             key = RequestKey(f"key-{number}")
             verdict = ledger.arrive(key, retries, LIFETIME_MS)
