--- a/packages/replay/src/marjoramstep_replay/trace/lines.py
+++ b/packages/replay/src/marjoramstep_replay/trace/lines.py
@@ -44,6 +44,8 @@
         its caller sends again; empty for a key of its own
     :param retries: resends by the client after an outcome other than done
     :param backoff_ms: wait before each resend
+    :param timeout_ms: time after which the client gives an attempt up; 0 for the
+        deadline of the request's row
     :param group: name under which stated outcomes refer to the request
     """
 
@@ -58,6 +60,7 @@
     key: str = ""
     retries: int = 0
     backoff_ms: float = 100.0
+    timeout_ms: float = 0.0
     group: str = "default"
 
     @classmethod
@@ -80,6 +83,7 @@
             key=fields.text("key", ""),
             retries=fields.integer("retries", 0),
             backoff_ms=fields.number("backoff_ms", 100.0),
+            timeout_ms=fields.number("timeout_ms", 0.0),
             group=fields.text("group", "default"),
         )
         if not request.path.startswith("/"):
@@ -102,7 +106,7 @@
         }
         defaults = TraceRequest(0, "", "", "", "")
         names = ("headers", "body", "body_bytes", "key", "retries", "backoff_ms")
-        for name in (*names, "group"):
+        for name in (*names, "timeout_ms", "group"):
             if getattr(self, name) != getattr(defaults, name):
                 document[name] = getattr(self, name)
         return document
