--- a/features/replay/verdict.feature
+++ b/features/replay/verdict.feature
@@ -15,6 +15,7 @@
       | unknown                 | {"kind": "unknown-share", "maximum": 0}             | not met |
       | good                    | {"kind": "at-most-one-run"}                         | met     |
       | twice run               | {"kind": "at-most-one-run"}                         | not met |
+      | further twice           | {"kind": "at-most-one-run"}                         | not met |
       | shed                    | {"kind": "not-run-never-ran"}                       | met     |
       | shed but run            | {"kind": "not-run-never-ran"}                       | not met |
       | good                    | {"kind": "retries-bounded"}                         | met     |
--- a/features/steps/replay_verdict_steps.py
+++ b/features/steps/replay_verdict_steps.py
@@ -48,7 +48,9 @@
 
 
 def _result(requests: list[RequestResult], keys: list[str]) -> RunResult:
-    runs = [Run("s-1", key, "GET", "/", 0.0, 1.0, "done") for key in keys]
+    runs = [
+        Run("s-1", key, "GET", "/", 0.0, 1.0, "done", "note" not in key) for key in keys
+    ]
     return RunResult(tuple(requests), tuple(runs), 3000.0, 6000.0)
 
 
@@ -62,6 +64,7 @@
     runs_of_odd = {
         "shed": [],
         "twice run": [key, key],
+        "further twice": [key, f"{key}_0_note", f"{key}_0_note"],
         "thrice run further down": [key, f"{key}_0", f"{key}_0", f"{key}_0"],
     }
     context.observed = _result(requests, keys + runs_of_odd.get(odd, [key]))
--- a/packages/replay/src/marjoramstep_replay/backend_server/run_log.py
+++ b/packages/replay/src/marjoramstep_replay/backend_server/run_log.py
@@ -74,6 +74,8 @@
     :param started_ms: monotonic start
     :param ended_ms: monotonic end, or None
     :param result: how it ended; empty when it did not
+    :param is_repeatable: whether the row of the call may be repeated; None when the
+        reader of the log does not know
     """
 
     server: str
@@ -83,6 +85,12 @@
     started_ms: float
     ended_ms: float | None = None
     result: str = ""
+    is_repeatable: bool | None = None
+
+    @property
+    def root_key(self) -> str:
+        """Key of the root request; keys of further calls are derived from it."""
+        return self.key.split("_", 1)[0]
 
 
 def read_runs(paths: Iterable[Path]) -> list[Run]:
--- a/packages/replay/src/marjoramstep_replay/outcomes/checks.py
+++ b/packages/replay/src/marjoramstep_replay/outcomes/checks.py
@@ -113,7 +113,9 @@
 
 @CHECKS.register("at-most-one-run")
 class AtMostOneRunCheck:
-    """No request that may not be repeated runs twice, over all backend servers.
+    """No call that may not be repeated runs twice, over all backend servers.
+
+    Further calls count when the reader of the run logs knows their rows.
 
     :param fields: no bounds
     """
@@ -125,12 +127,17 @@
         self, run: RunResult, groups: Sequence[str], baseline_p99_ms: float | None
     ) -> Finding:
         """Check one run; see :meth:`Check.apply`."""
-        keys = {r.key for r in run.of_groups(groups) if not r.repeatable}
-        if not keys:
-            return _nothing("no request that may not be repeated in these groups")
-        counts = Counter(entry.key for entry in run.runs if entry.key in keys)
+        requests = run.of_groups(groups)
+        roots = {r.key for r in requests}
+        once = {r.key for r in requests if not r.repeatable}
+        counts = Counter(
+            entry.key
+            for entry in run.runs
+            if entry.key in once
+            or (entry.is_repeatable is False and entry.root_key in roots)
+        )
         if not counts:
-            return _nothing("none of these requests ran")
+            return _nothing("no request that may not be repeated ran")
         twice = sorted(key for key, count in counts.items() if count > 1)
         return Finding(
             not twice, len(twice), f"requests that ran twice: none{_examples(twice)}"
@@ -182,10 +189,12 @@
     ) -> Finding:
         """Check one run; see :meth:`Check.apply`."""
         allowed = {r.key: r.retries for r in run.of_groups(groups)}
-        counts = Counter(entry.key for entry in run.runs)
+        counts: Counter[str] = Counter()
         repeated: Counter[str] = Counter()
-        for key, count in counts.items():
-            repeated[key.split("_", 1)[0]] += count - 1
+        for entry in run.runs:
+            counts[entry.key] += 1
+            if counts[entry.key] > 1:
+                repeated[entry.root_key] += 1
         above = sorted(key for key, most in allowed.items() if repeated[key] > most)
         if not any(key in counts for key in allowed):
             return _nothing("none of these requests ran")
--- a/packages/replay/src/marjoramstep_replay/single_run.py
+++ b/packages/replay/src/marjoramstep_replay/single_run.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from marjoramstep_core.clock import SystemClock
+from marjoramstep_core.ids import ServiceName
 
 from .backend_server.run_log import read_runs
 from .launch import Cluster
@@ -24,6 +25,7 @@
     from collections.abc import Sequence
     from pathlib import Path
 
+    from .backend_server.run_log import Run
     from .deployment import Deployment
     from .outcomes import RequestResult
     from .trace import Trace
@@ -94,12 +96,25 @@
                 self._cluster.kill()
         result = RunResult(
             requests=tuple(requests),
-            runs=tuple(read_runs(self._cluster.run_logs())),
+            runs=tuple(self._read_runs()),
             cause_end_ms=self._trace.cause_end_ms,
             duration_ms=self._trace.duration_ms,
         )
         return ObservedRun(result, lags_ms, killed, started_seconds)
 
+    def _read_runs(self) -> list[Run]:
+        services = {
+            server: ServiceName(service.name)
+            for service in self._deployment.services
+            for server in service.server_names()
+        }
+        matcher = self._deployment.matcher()
+        runs = read_runs(self._cluster.run_logs())
+        for run in runs:
+            row = matcher.match(services[run.server], run.method, run.path)
+            run.is_repeatable = row.repeatable
+        return runs
+
     async def _start(self, session: aiohttp.ClientSession) -> None:
         cluster = self._cluster
         self._report("starting processes")
