Cut costs of a call on the path between nodes

Cause: a profile of both nodes showed our own code at more than half of the processor time of a call: 460 us (entry) and 562 us (serving) of user time, of which aiohttp's server takes about 75 us and its client about 170 us (closed loop, 6 callers, one run each). Change: one timer for each stream in place of asyncio.timeout and shield, one shared protocol object for decoding (11.0 to 6.9 us for each message, timeit, 20,000 calls), collections of the garbage collector spread out.

--- a/packages/daemon/src/marjoramstep_daemon/daemon.py
+++ b/packages/daemon/src/marjoramstep_daemon/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import signal
 from typing import TYPE_CHECKING
 
@@ -26,6 +27,9 @@
 
 SECOND_MS = 1_000.0
 EXIT_CUT_OFF = 1
+# Allocations between collections of the youngest generation. The default of 700 lets
+# full collections of the whole heap fall into the path of many calls.
+GC_THRESHOLDS = (20_000, 20, 50)
 
 
 class Daemon:
@@ -64,6 +68,7 @@
                 step="start",
                 **{name: f"{host}:{port}" for name, (host, port) in bound.items()},
             )
+            _relax_garbage_collector()
             await self._wait_for_end()
             return await self._shut_down()
         finally:
@@ -130,3 +135,9 @@
         drain.cancel()
         self._log.write("stopped", step="shutdown", cut_off=self._node.cut_off())
         return EXIT_CUT_OFF
+
+
+def _relax_garbage_collector() -> None:
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link.py
@@ -54,6 +54,7 @@
         self.window = CreditWindow()
         self.incoming: IncomingBody | None = None
         self.sender: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
 
     def finish(self, reply: Reply) -> None:
         if not self.reply.done():
@@ -131,7 +132,14 @@
             stream.sender = asyncio.create_task(
                 self._send_body(connection, stream_id, call, stream)
             )
-        return await self._wait(connection, stream_id, stream, budget_ms)
+        stream.timer = asyncio.get_running_loop().call_later(
+            max(budget_ms, 0.0) / SECOND_MS,
+            self._on_deadline,
+            connection,
+            stream_id,
+            stream,
+        )
+        return await self._wait(connection, stream_id, stream)
 
     def on_message(self, connection: PeerConnection, message: Message) -> None:
         """Take a message of the peer.
@@ -179,40 +187,35 @@
             stream.finish(Failed(Reason.CONNECTION_LOST, error.message))
 
     async def _wait(
-        self,
-        connection: PeerConnection,
-        stream_id: int,
-        stream: _Stream,
-        budget_ms: float,
+        self, connection: PeerConnection, stream_id: int, stream: _Stream
     ) -> Reply:
         try:
-            async with asyncio.timeout(max(budget_ms, 0.0) / SECOND_MS):
-                reply = await asyncio.shield(stream.reply)
-        except TimeoutError:
-            reply = await self._cancel(connection, stream_id, stream)
+            reply = await stream.reply
         except asyncio.CancelledError:
             if connection.is_open:
                 connection.send(Cancel(stream_id=stream_id))
             self._drop(stream_id, stream)
             raise
+        if stream.timer is not None:
+            stream.timer.cancel()
         if stream.incoming is None:
             self._drop(stream_id, stream)
         return reply
 
-    async def _cancel(
+    def _on_deadline(
         self, connection: PeerConnection, stream_id: int, stream: _Stream
-    ) -> Reply:
+    ) -> None:
         if connection.is_open:
             connection.send(Cancel(stream_id=stream_id))
-            try:
-                async with asyncio.timeout(CANCEL_REPLY_WAIT_SECONDS):
-                    return await asyncio.shield(stream.reply)
-            except TimeoutError:
-                pass
-        return Failed(Reason.DEADLINE, "no reply before the deadline")
+        failed = Failed(Reason.DEADLINE, "no reply before the deadline")
+        stream.timer = asyncio.get_running_loop().call_later(
+            CANCEL_REPLY_WAIT_SECONDS, stream.finish, failed
+        )
 
     def _drop(self, stream_id: int, stream: _Stream) -> None:
         self._streams.pop(stream_id, None)
+        if stream.timer is not None:
+            stream.timer.cancel()
         if stream.sender is not None:
             stream.sender.cancel()
 
--- a/packages/wire/src/marjoramstep_wire/codec.py
+++ b/packages/wire/src/marjoramstep_wire/codec.py
@@ -36,6 +36,7 @@
     MemoryError,
     RecursionError,
 )
+_PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
 _SPECS = {cls: [cls, cls.thrift_spec] for cls in TYPE_CODES}
 
 
@@ -59,8 +60,11 @@
     :raises ProtocolError: if the bytes do not hold such a struct
     """
     message = message_type()
+    # The decoder is not entered again while it runs, so all calls share one protocol
+    # object; building one for each message took a third of the decoding time.
+    _PROTOCOL.trans = TMemoryBuffer(data)
     try:
-        message.read(TBinaryProtocolAccelerated(TMemoryBuffer(data)))
+        message.read(_PROTOCOL)
         message.validate()
     except DECODE_ERRORS as error:
         raise ProtocolError(
