--- /dev/null
+++ b/features/support/consensus_checker.py
@@ -0,0 +1,82 @@
+"""Properties that must hold in every schedule."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from marjoramstep_consensus.entry import Entry
+
+
+class ViolationError(AssertionError):
+    """A property does not hold."""
+
+
+class ListMachine:
+    """State machine that keeps the ids of proposals, each once."""
+
+    def __init__(self) -> None:
+        self.ids: list[str] = []
+        self._known: set[str] = set()
+
+    def apply(self, entry: Entry) -> int:
+        proposal_id = entry.payload.decode()
+        if proposal_id not in self._known:
+            self._known.add(proposal_id)
+            self.ids.append(proposal_id)
+        return len(self.ids)
+
+    def restore(self, data: bytes) -> None:
+        self.ids = json.loads(data)
+        self._known = set(self.ids)
+
+    def snapshot(self) -> bytes:
+        return json.dumps(self.ids).encode()
+
+
+class Checker:
+    """Compares all replicas over the whole schedule."""
+
+    def __init__(self) -> None:
+        self._leaders: dict[int, str] = {}
+        self._committed: dict[int, Entry] = {}
+        self.acknowledged: set[str] = set()
+
+    def leader(self, replica_id: str, term: int) -> None:
+        """Check that a term has one leader."""
+        known = self._leaders.setdefault(term, replica_id)
+        if known != replica_id:
+            raise ViolationError(f"two leaders in term {term}: {known}, {replica_id}")
+
+    def applied(self, replica_id: str, entry: Entry) -> None:
+        """Check that an index holds one entry for ever, and the order of log times."""
+        known = self._committed.setdefault(entry.index, entry)
+        if known != entry:
+            raise ViolationError(
+                f"{replica_id} applied {entry} but committed was {known}"
+            )
+        before = self._committed.get(entry.index - 1)
+        if before is not None and before.time_ms > entry.time_ms:
+            raise ViolationError(f"log time goes down at index {entry.index}")
+
+    def read(self, replica_id: str, machine: ListMachine, expected: set[str]) -> None:
+        """Check that a confirmed read sees what was acknowledged before it."""
+        missing = expected - set(machine.ids)
+        if missing:
+            raise ViolationError(f"read at {replica_id} misses {sorted(missing)[:3]}")
+
+    def end(self, machines: dict[str, ListMachine]) -> None:
+        """Check the final states: equal, and each acknowledged id exactly once."""
+        first = next(iter(machines.values())).ids
+        for replica_id, machine in machines.items():
+            if machine.ids != first:
+                raise ViolationError(f"the state of {replica_id} differs at the end")
+            if len(set(machine.ids)) != len(machine.ids):
+                raise ViolationError(f"{replica_id} holds an id twice")
+            missing = self.acknowledged - set(machine.ids)
+            if missing:
+                raise ViolationError(
+                    f"{replica_id} lost acknowledged {sorted(missing)[:3]}"
+                )
--- /dev/null
+++ b/features/support/consensus_replica.py
@@ -0,0 +1,171 @@
+"""One simulated replica: a core, its driver and its disk."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import TYPE_CHECKING
+from typing import Any
+
+from marjoramstep_consensus.data_folder import DataFolder
+from marjoramstep_consensus.effects import Apply
+from marjoramstep_consensus.effects import InstallSnapshot
+from marjoramstep_consensus.effects import Persist
+from marjoramstep_consensus.effects import Role
+from marjoramstep_consensus.effects import RoleChanged
+from marjoramstep_consensus.replica_core import ReplicaCore
+from marjoramstep_consensus.replica_driver import ReplicaDriver
+from marjoramstep_consensus.replica_driver import StateMachineCalls
+from marjoramstep_consensus.replica_driver import Work
+from marjoramstep_core.ids import ReplicaId
+
+from .consensus_checker import ListMachine
+from .consensus_disk import MemoryDisk
+from .consensus_disk import SimulatedCrashError
+
+
+if TYPE_CHECKING:
+    from marjoramstep_consensus.effects import Effect
+    from marjoramstep_consensus.membership import Membership
+
+
+@dataclass(frozen=True)
+class PlantedFaults:
+    """Faults that the checker must find."""
+
+    unsynced_vote: bool = False
+    reuse_identity: bool = False
+    commit_earlier_terms: bool = False
+
+
+class SkewedClock:
+    """Shared monotonic time, own wall clock."""
+
+    def __init__(self, shared: Any, skew_ms: int) -> None:
+        self._shared = shared
+        self._skew_ms = skew_ms
+
+    def now_ms(self) -> float:
+        return float(self._shared.now_ms())
+
+    def wall_ms(self) -> int:
+        return int(self._shared.wall_ms()) + self._skew_ms
+
+
+class SimulatedReplica:
+    """A replica that can crash and start again on its disk."""
+
+    def __init__(
+        self, schedule: Any, replica_id: str, membership: Membership | None
+    ) -> None:
+        self._schedule = schedule
+        self.replica_id = ReplicaId(replica_id)
+        self.disk = MemoryDisk()
+        self._rng = Random(schedule.rng.random())
+        self._clock = SkewedClock(schedule.clock, schedule.rng.randint(-5000, 5000))
+        folder = DataFolder(self.disk, replica_id)
+        folder.create(self.replica_id, membership)
+        self.life = 0
+        self.alive = False
+        self.frozen = False
+        self.write: Persist | None = None
+        self.reads: dict[int, set[str]] = {}
+        self.start()
+
+    def start(self) -> None:
+        """Start the process on what the disk holds."""
+        schedule = self._schedule
+        self._folder = DataFolder(self.disk, self.replica_id)
+        stored = self._folder.load()
+        schedule.truncated += self._folder.truncated_bytes > 0
+        self.machine = ListMachine()
+        if stored.snapshot.last_index:
+            self.machine.restore(stored.snapshot.data)
+        self.core = ReplicaCore(
+            self.replica_id,
+            stored,
+            self._clock,
+            self._rng,
+            schedule.timing,
+            schedule.limits,
+        )
+        calls = StateMachineCalls(self._apply, self._restore, self._snapshot)
+        self.driver = ReplicaDriver(self.core, calls, schedule.snapshot_entries)
+        self.alive, self.write = True, None
+        self.reads = {}
+        self.life += 1
+
+    def crash(self) -> None:
+        """End the process, perhaps in the middle of a write."""
+        if self.write is not None and self._rng.random() < 0.7:
+            self.disk.operations_left = self._rng.randint(0, 8)
+            try:
+                self._folder.persist(self.write)
+            except SimulatedCrashError:
+                self._schedule.interrupted_writes += 1
+        self.disk.lose_unsynced(self._rng)
+        self.alive = self.frozen = False
+        self.life += 1
+
+    def handle(self, effects: list[Effect]) -> None:
+        """Check effects and carry them out."""
+        self.carry_out(self.driver.handle(self.observe(effects)))
+
+    def observe(self, effects: list[Effect]) -> list[Effect]:
+        """Let the checker see roles and applied entries."""
+        schedule = self._schedule
+        for effect in effects:
+            if isinstance(effect, RoleChanged):
+                if effect.role is Role.LEADER:
+                    schedule.checker.leader(self.replica_id, effect.term)
+                    schedule.trace(f"{self.replica_id} leads term {effect.term}")
+                    schedule.won(self)
+            elif isinstance(effect, Apply):
+                for entry in effect.entries:
+                    schedule.checker.applied(self.replica_id, entry)
+            elif isinstance(effect, InstallSnapshot):
+                schedule.installed += 1
+        return effects
+
+    def carry_out(self, work: Work) -> None:
+        """Start the write, send, and hand results over."""
+        schedule = self._schedule
+        if work.write is not None:
+            self.write = work.write
+            schedule.later(self._rng.uniform(0.5, 15), self, self.synced)
+        for send in work.sends:
+            schedule.send(self, send)
+        for result in work.results:
+            schedule.settled(result)
+        for read_id in work.ready_reads:
+            expected = self.reads.pop(read_id)
+            schedule.checker.read(self.replica_id, self.machine, expected)
+            schedule.confirmed_reads += 1
+
+    def synced(self) -> None:
+        """Finish the write under way."""
+        write = self.write
+        assert write is not None
+        lost = self._schedule.faults.unsynced_vote and not write.entries
+        if not lost or write.snapshot is not None:
+            self._folder.persist(write)
+        self.write = None
+        self.handle(self.core.on_synced(write.index))
+
+    def tick(self) -> None:
+        """Let the core look at the time."""
+        if self._clock.now_ms() >= self.core.next_wakeup_ms():
+            self.handle(self.core.tick())
+
+    def receive(self, sender: ReplicaId, message: Any) -> None:
+        """Give a message to the core."""
+        self.handle(self.core.receive(sender, message))
+
+    def _apply(self, entry: Any) -> int:
+        return self.machine.apply(entry)
+
+    def _restore(self, data: bytes) -> None:
+        self.machine.restore(data)
+
+    def _snapshot(self) -> bytes:
+        return self.machine.snapshot()
