--- a/packages/consensus/src/marjoramstep_consensus/data_folder.py
+++ b/packages/consensus/src/marjoramstep_consensus/data_folder.py
@@ -172,8 +172,9 @@
     def persist(self, write: Persist) -> None:
         """Make a write durable.
 
-        After a :class:`DiskFullError` the same write may be tried again. After any
-        other error the folder must be opened anew.
+        After an error nothing of the write counts as stored. When the failed part could
+        be taken back, as usual on a full disk, the same write may be tried again.
+        Otherwise each further call raises until the folder is opened anew.
 
         :param write: the effect
         :raises DiskFullError: if the disk is full
