--- /dev/null
+++ b/features/steps/consensus_replica_core_steps.py
@@ -0,0 +1,281 @@
+"""Steps for the replication core."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_consensus.effects import Apply
+from marjoramstep_consensus.effects import Persist
+from marjoramstep_consensus.effects import ReadFailed
+from marjoramstep_consensus.effects import ReadReady
+from marjoramstep_consensus.effects import Role
+from marjoramstep_consensus.effects import Send
+from marjoramstep_consensus.entry import Snapshot
+from marjoramstep_consensus.leadership import ChangeRefusedError
+from marjoramstep_consensus.membership import Membership
+from marjoramstep_consensus.replica_core import NotLeaderError
+from marjoramstep_consensus.replica_core import ReplicaCore
+from marjoramstep_consensus.replica_state import StoredState
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.errors import ProtocolError
+from marjoramstep_core.ids import ReplicaId
+from marjoramstep_wire.messages import AppendRequest
+from marjoramstep_wire.messages import LogEntry
+from marjoramstep_wire.messages import VoteRequest
+
+
+STEP_MS = 10.0
+
+
+class Cluster:
+    """Cores with instant disks and messages, except where a test says otherwise."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = ManualClock()
+        ids = [ReplicaId(f"r{number}") for number in range(count)]
+        first = Snapshot(0, 0, 0, Membership({i: i for i in ids}), b"")
+        self.cores = {i: self.make(i, StoredState(snapshot=first)) for i in ids}
+        self.cut: set[str] = set()
+        self.cut_route: set[str] = set()
+        self.effects: list[tuple[str, Any]] = []
+        self.run(2_000)
+        self.leader = next(c for c in self.cores.values() if c.role is Role.LEADER)
+        self.follower = next(c for c in self.cores.values() if c is not self.leader)
+
+    def make(self, name: ReplicaId, stored: StoredState) -> ReplicaCore:
+        return ReplicaCore(name, stored, self.clock, Random(name))
+
+    def handle(self, core: ReplicaCore, effects: list[Any]) -> None:
+        for effect in effects:
+            self.effects.append((core.replica_id, effect))
+            if isinstance(effect, Persist):
+                self.handle(core, core.on_synced(effect.index))
+            elif isinstance(effect, Send):
+                target = self.cores.get(effect.receiver)
+                route = {core.replica_id, effect.receiver}
+                if target and not self.cut & route and route != self.cut_route:
+                    received = target.receive(core.replica_id, effect.message)
+                    self.handle(target, received)
+
+    def run(self, duration_ms: float) -> None:
+        end_ms = self.clock.now_ms() + duration_ms
+        while self.clock.now_ms() < end_ms:
+            self.clock.advance_ms(STEP_MS)
+            for core in list(self.cores.values()):
+                self.handle(core, core.tick())
+
+    def applied(self, name: str) -> list[Any]:
+        mine = [e for owner, e in self.effects if owner == name]
+        return [e for a in mine if isinstance(a, Apply) for e in a.entries]
+
+
+def _raises(kind: type[Exception], call: Any) -> bool:
+    try:
+        call()
+    except kind:
+        return True
+    return False
+
+
+@given("a replicated log of {count:d} cores with a leader")
+def step_cluster(context: Any, count: int) -> None:
+    context.cluster = Cluster(count)
+
+
+@when("the leading core gets {count:d} proposals while its disk is busy")
+def step_busy(context: Any, count: int) -> None:
+    core = context.cluster.leader
+    context.held = [e for n in range(count) for e in core.propose(b"%d" % n)]
+
+
+@then(
+    "the leading core writes 1 and then {count:d} entries, and all are applied"
+    " everywhere"
+)
+def step_grouped(context: Any, count: int) -> None:
+    cluster = context.cluster
+    assert [len(e.entries) for e in context.held if isinstance(e, Persist)] == [1]
+    cluster.handle(cluster.leader, context.held)
+    name = cluster.leader.replica_id
+    writes = [e for o, e in cluster.effects if o == name and isinstance(e, Persist)]
+    assert len(writes[-1].entries) == count
+    cluster.run(500)
+    for name in cluster.cores:
+        values = [e.payload for e in cluster.applied(name)][-count - 1 :]
+        assert values == [b"%d" % n for n in range(count + 1)]
+
+
+@then("a core answers entries and a vote request only after its disk has them")
+def step_durable(context: Any) -> None:
+    core, leader = context.cluster.follower, context.cluster.leader
+    (append,) = [
+        e.message
+        for e in leader.propose(b"x")
+        if isinstance(e, Send) and e.receiver == core.replica_id
+    ]
+    effects = core.receive(leader.replica_id, append)
+    assert [type(e) for e in effects] == [Persist]
+    vote = VoteRequest(
+        term=core.term + 1,
+        candidate_id=leader.replica_id,
+        last_index=99,
+        last_term=core.term,
+        pre_vote=False,
+    )
+    assert not any(isinstance(e, Send) for e in core.receive(leader.replica_id, vote))
+    after = core.on_synced(effects[0].index)
+    assert [e.message.match_index for e in after if isinstance(e, Send)] == [2]
+    (write,) = [e for e in after if isinstance(e, Persist)]
+    assert write.voted_for == leader.replica_id
+    (answer,) = [e for e in core.on_synced(write.index) if isinstance(e, Send)]
+    assert answer.message.granted
+
+
+@when("the leading core is cut off and asked to read")
+def step_cut_read(context: Any) -> None:
+    cluster = context.cluster
+    cluster.cut.add(cluster.leader.replica_id)
+    cluster.effects.clear()
+    context.read_id, effects = cluster.leader.request_read()
+    cluster.handle(cluster.leader, effects)
+    cluster.run(600)
+
+
+@then("the leading core steps down within its election time-out and fails the read")
+def step_failed_read(context: Any) -> None:
+    effects = [effect for _, effect in context.cluster.effects]
+    assert context.cluster.leader.role is not Role.LEADER
+    assert ReadFailed(context.read_id) in effects
+    assert ReadReady(context.read_id) not in effects
+
+
+@then("the leading core sends nothing when it resumes after {pause_ms:d} ms")
+def step_frozen(context: Any, pause_ms: int) -> None:
+    context.cluster.clock.advance_ms(pause_ms)
+    effects = context.cluster.leader.tick()
+    assert not any(isinstance(effect, Send) for effect in effects)
+    assert context.cluster.leader.role is Role.FOLLOWER
+
+
+@when("another core is cut off for {pause_ms:d} ms and returns")
+def step_return(context: Any, pause_ms: int) -> None:
+    cluster = context.cluster
+    context.term = cluster.leader.term
+    cluster.cut.add(cluster.follower.replica_id)
+    cluster.run(pause_ms)
+    assert cluster.follower.role is Role.PRE_CANDIDATE
+    cluster.cut.clear()
+    cluster.run(3_000)
+
+
+@when("another core is cut off from the leading core alone for {pause_ms:d} ms")
+def step_cut_from_leader(context: Any, pause_ms: int) -> None:
+    cluster = context.cluster
+    context.term = cluster.leader.term
+    cluster.cut_route = {cluster.follower.replica_id, cluster.leader.replica_id}
+    cluster.run(pause_ms)
+    assert cluster.follower.role is Role.PRE_CANDIDATE
+    cluster.cut_route = set()
+    cluster.run(3_000)
+
+
+@then("the replicated log keeps its leader and its term")
+def step_same_term(context: Any) -> None:
+    for core in context.cluster.cores.values():
+        assert core.term == context.term
+        assert core.leader_id == context.cluster.leader.replica_id
+
+
+@when("a core with an empty folder runs for {duration_ms:d} ms")
+def step_empty(context: Any, duration_ms: int) -> None:
+    cluster = context.cluster
+    context.new = cluster.cores["new"] = cluster.make("new", StoredState())
+    cluster.effects.clear()
+    cluster.run(duration_ms)
+    request = VoteRequest(
+        term=9, candidate_id="r0", last_index=99, last_term=8, pre_vote=False
+    )
+    cluster.handle(context.new, context.new.receive("r0", request))
+
+
+@then("the core with an empty folder has refused a vote and asked for none")
+def step_no_vote(context: Any) -> None:
+    sent = [e for owner, e in context.cluster.effects if owner == "new"]
+    (reply,) = [e.message for e in sent if isinstance(e, Send)]
+    assert not reply.granted
+
+
+@when("a core with an empty folder is admitted but receives nothing")
+def step_admit(context: Any) -> None:
+    cluster = context.cluster
+    context.new = cluster.cores["new"] = cluster.make("new", StoredState())
+    cluster.cut.add("new")
+    cluster.handle(cluster.leader, cluster.leader.admit("new", "127.0.0.1:9"))
+    cluster.run(1_000)
+
+
+@then("the new core has no vote, commits go on, and no other change may start")
+def step_learner(context: Any) -> None:
+    cluster = context.cluster
+    leader = cluster.leader
+    cluster.handle(leader, leader.propose(b"x"))
+    assert leader.commit_index == leader.last_index
+    assert "new" in leader.membership.learners
+    assert _raises(ChangeRefusedError, lambda: leader.admit("other", "127.0.0.1:8"))
+    assert context.new.last_index == 0
+
+
+@then("the new core becomes a voter after it receives the log")
+def step_promoted(context: Any) -> None:
+    context.cluster.cut.clear()
+    context.cluster.run(1_000)
+    for core in context.cluster.cores.values():
+        assert "new" in core.membership.voters
+    assert context.new.applied_index == context.cluster.leader.last_index
+
+
+@when("the wall clock steps back by {step_ms:d} ms and another core leads")
+def step_clock(context: Any, step_ms: int) -> None:
+    cluster = context.cluster
+    cluster.clock.step_wall_ms(-step_ms)
+    cluster.cut.add(cluster.leader.replica_id)
+    cluster.run(5_000)
+    (leader,) = [c for c in cluster.cores.values() if c.role is Role.LEADER]
+    assert leader is not cluster.leader
+    cluster.handle(leader, leader.propose(b"x"))
+    context.leader = leader
+
+
+@then("the log times of the replicated log never go down")
+def step_times(context: Any) -> None:
+    entries = context.cluster.applied(context.leader.replica_id)
+    times = [entry.time_ms for entry in entries]
+    assert len(times) >= 3
+    assert times == sorted(times)
+
+
+@then("the cores refuse a forged sender, a gap, a long proposal and a wrong leader")
+def step_refused(context: Any) -> None:
+    core, leader = context.cluster.follower, context.cluster.leader
+    name, last = leader.replica_id, leader.last_index
+    entry = LogEntry(index=9, term=leader.term, kind="normal", payload=bytes(8))
+    gap = AppendRequest(
+        term=leader.term,
+        leader_id=name,
+        previous_index=1,
+        previous_term=leader.term,
+        entries=[entry],
+        commit_index=1,
+        round_id=1,
+    )
+    assert _raises(ProtocolError, lambda: core.receive(ReplicaId("x"), gap))
+    assert _raises(ProtocolError, lambda: core.receive(name, gap))
+    long = bytes(2 * 1024 * 1024)
+    assert _raises(InvalidInputError, lambda: leader.propose(b"fits", long))
+    assert _raises(NotLeaderError, lambda: core.propose(b"x"))
+    assert leader.last_index == core.last_index == last
--- a/features/support/consensus_schedule.py
+++ b/features/support/consensus_schedule.py
@@ -211,11 +211,14 @@
             batch += rng.sample(sorted(self._open), min(len(self._open), 1))
             self._propose(replica, batch)
             if rng.random() < 0.3:
-                read_id, effects = replica.core.request_read()
-                replica.reads[read_id] = set(self.checker.acknowledged)
-                replica.handle(effects)
+                self._read(replica)
         self.at(rng.uniform(5, 60), self._client)
 
+    def _read(self, replica: SimulatedReplica) -> None:
+        read_id, effects = replica.core.request_read()
+        replica.reads[read_id] = set(self.checker.acknowledged)
+        replica.handle(effects)
+
     def _propose(self, replica: SimulatedReplica, batch: list[str]) -> None:
         self._open.update(batch)
         with mock.patch.object(replica.core, "propose", self._observed(replica)):
@@ -276,7 +279,13 @@
             replica.frozen = True
             delay_ms = self.rng.uniform(20, 800)
             self.trace(f"{replica.replica_id} is frozen for {delay_ms:.0f} ms")
-            self.at(delay_ms, lambda: setattr(replica, "frozen", False))
+            self.at(delay_ms, lambda: self._resume(replica))
+
+    def _resume(self, replica: SimulatedReplica) -> None:
+        """Resume a replica; one that still believes that it leads must not answer."""
+        replica.frozen = False
+        if replica.alive and replica.core.role is Role.LEADER:
+            self._read(replica)
 
     def _cut(self) -> None:
         route = (self._pick().replica_id, self._pick().replica_id)
