--- a/features/consensus/schedules.feature
+++ b/features/consensus/schedules.feature
@@ -21,3 +21,7 @@
   Scenario: The schedule checker finds a commit of an earlier term by count
     When replication schedules run with the fault "commit_earlier_terms" until one breaks
     Then the broken replication schedule reports one of "committed"
+
+  Scenario: The schedule checker finds a read that no quorum confirmed
+    When replication schedules run with the fault "unconfirmed_reads" until one breaks
+    Then the broken replication schedule reports one of "misses"
--- a/features/steps/consensus_data_folder_steps.py
+++ b/features/steps/consensus_data_folder_steps.py
@@ -163,6 +163,15 @@
             raise AssertionError(f"damage at byte {position} was not noticed")
 
 
+def _check_usable(disk: MemoryDisk) -> StoredState:
+    """Load after a crash, and check that a write on top is found again."""
+    folder, stored = _load(disk)
+    following = stored.snapshot.last_index + len(stored.entries) + 1
+    folder.persist(_write(following, following))
+    assert _load(disk)[1].entries == (*stored.entries, _entry(following))
+    return stored
+
+
 def _crash_everywhere(context: Any, write: Persist) -> list[StoredState]:
     """Crash before each step of a write, and return what each restart finds."""
     trial = context.disk.copy()
@@ -178,7 +187,7 @@
             folder.persist(write)
         except SimulatedCrashError:
             disk.lose_unsynced(Random(steps))
-            found.append(_load(disk)[1])
+            found.append(_check_usable(disk))
     assert len(found) == len(trial.log) + 1 > 6
     return found
 
--- a/features/support/consensus_replica.py
+++ b/features/support/consensus_replica.py
@@ -25,6 +25,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from marjoramstep_consensus.effects import Effect
     from marjoramstep_consensus.membership import Membership
 
@@ -36,6 +38,7 @@
     unsynced_vote: bool = False
     reuse_identity: bool = False
     commit_earlier_terms: bool = False
+    unconfirmed_reads: bool = False
 
 
 class SkewedClock:
@@ -68,6 +71,7 @@
         self.life = 0
         self.alive = False
         self.frozen = False
+        self.paused: list[Callable[[], None]] = []
         self.write: Persist | None = None
         self.reads: dict[int, set[str]] = {}
         self.start()
