Report a data folder that cannot be created through the exception tree

The folder was made outside of the code that translates errors, so that a path to a file raised a bare OSError.

--- a/features/consensus/data_folder.feature
+++ b/features/consensus/data_folder.feature
@@ -12,6 +12,10 @@
     Given a data folder on disk that stored 3 entries and a snapshot at 1
     Then opening the data folder twice fails with "FolderLockedError"
 
+  Scenario: A path that is not a folder is refused
+    Given a data folder on disk that stored 3 entries and a snapshot at 1
+    Then opening the log file as a data folder fails with "StorageError"
+
   Scenario: Replaced entries stay replaced after a restart
     Given a data folder in memory that stored 5 entries
     When entries 3 to 4 of a later term are stored in the data folder
--- a/features/steps/consensus_data_folder_steps.py
+++ b/features/steps/consensus_data_folder_steps.py
@@ -19,6 +19,7 @@
 from marjoramstep_consensus.entry import Entry
 from marjoramstep_consensus.entry import EntryKind
 from marjoramstep_consensus.entry import Snapshot
+from marjoramstep_consensus.file_layer import FileLayer
 from marjoramstep_consensus.file_layer import OsFileLayer
 from marjoramstep_consensus.membership import Membership
 from marjoramstep_core.ids import ReplicaId
@@ -91,14 +92,24 @@
     assert (context.stored.term, context.stored.voted_for) == (3, "r2")
 
 
-@then('opening the data folder twice fails with "{error}"')
-def step_twice(context: Any, error: str) -> None:
+def _open_fails(files: FileLayer, error: str) -> None:
     try:
-        DataFolder(OsFileLayer(context.path), "disk")
+        DataFolder(files, "label").load()
     except storage_errors.StorageError as raised:
-        assert type(raised).__name__ == error
+        assert type(raised).__name__ == error, raised
+        assert raised.peer == "label"
         return
-    raise AssertionError("the second opener got the folder")
+    raise AssertionError("the folder was accepted")
+
+
+@then('opening the data folder twice fails with "{error}"')
+def step_twice(context: Any, error: str) -> None:
+    _open_fails(OsFileLayer(context.path), error)
+
+
+@then('opening the log file as a data folder fails with "{error}"')
+def step_not_folder(context: Any, error: str) -> None:
+    _open_fails(OsFileLayer(context.path / "log"), error)
 
 
 @given("a data folder in memory that stored {count:d} entries")
@@ -257,12 +268,7 @@
 
 @then('opening the data folder fails with "{error}"')
 def step_open_fails(context: Any, error: str) -> None:
-    try:
-        _load(context.disk)
-    except storage_errors.StorageError as raised:
-        assert type(raised).__name__ == error
-        return
-    raise AssertionError("the folder was accepted")
+    _open_fails(context.disk, error)
 
 
 @then("two identities for the same name differ")
--- a/packages/consensus/src/marjoramstep_consensus/__init__.py
+++ b/packages/consensus/src/marjoramstep_consensus/__init__.py
@@ -35,5 +35,6 @@
 
 Admission: a replica sends ``JoinRequest`` to the leader, which lists it in
 ``core.waiting_replicas``. The operator's ``admit`` makes it a learner, and it becomes a
-voter by itself once it has caught up.
+voter by itself once it has caught up. The task of the replica that joins handles the
+``JoinReply``; the core does not take it.
 """
