Test scheduled checks, verdict pruning and commands of other packages

Change: MembershipRegistry.scheduled_count and three scenarios. Conclusion: the three points are covered.

--- a/features/command/main.feature
+++ b/features/command/main.feature
@@ -174,3 +174,8 @@
 
   Scenario: Every command has a description in the help text
     Then each command of the registry describes itself and takes --json
+
+  Scenario: A package adds a command by an entry point
+    Given a package whose entry point adds the command "echo-text"
+    When the operator runs "echo-text hello"
+    Then the command exits with 3 and prints "hello"
--- a/features/state/edits.feature
+++ b/features/state/edits.feature
@@ -57,6 +57,14 @@
     When 1 ms of log time pass
     Then the verdict of edit key "a" is not known
 
+  Scenario: An edit key used again after 24 h does not keep older verdicts from pruning
+    When operator "ana" edits the weight of row "default" to 20 with key "a" on version 1
+    And operator "ana" edits the weight of row "default" to 30 with key "b" on version 2
+    And 86400001 ms pass without a command
+    And operator "ana" edits the weight of row "default" to 40 with key "a" on version 3
+    Then the state edit is accepted at version 4
+    And the snapshot holds the verdicts of the edit keys a
+
   Scenario: The last 100 versions are kept for diff
     When 150 edits are accepted one after the other
     Then the table versions 52 to 151 are kept and 51 is not
--- a/features/state/membership.feature
+++ b/features/state/membership.feature
@@ -36,6 +36,10 @@
     And the members of service "pay" are nobody
     And a membership tick after 1 ms pushes nothing
 
+  Scenario: Heartbeats and short leases do not let the scheduled checks grow
+    When server "s1" announces itself 500 times with leases from 9000 down to 1000 ms
+    Then the membership registry has at most 15 scheduled checks
+
   Scenario: A late announcement does not bring back a member that is gone
     When server "s1" of service "pay" announces "ready" as 1.5
     Then watching service "pay" as "n1" gives the full list s1:ready
--- a/features/steps/command_main_steps.py
+++ b/features/steps/command_main_steps.py
@@ -253,3 +253,17 @@
         text = " ".join(context.out.split())
         assert COMMANDS.get(name).description in text, name
         assert "--json" in text, name
+
+
+@given('a package whose entry point adds the command "{name}"')
+def step_entry_point(context: Any, name: str) -> None:
+    folder = context.stack.enter_context(tempfile.TemporaryDirectory())
+    info = Path(folder) / "added_command-1.0.dist-info"
+    info.mkdir()
+    (info / "METADATA").write_text("Name: added-command\nVersion: 1.0\n")
+    entry = f"[marjoramstep.commands]\n{name} = added_command:handler\n"
+    (info / "entry_points.txt").write_text(entry)
+    source = "def handler(text: str) -> int:\n    print(text)\n    return 3\n"
+    (Path(folder) / "added_command.py").write_text(source)
+    sys.path.insert(0, folder)
+    context.stack.callback(sys.path.remove, folder)
--- a/features/steps/state_edits_steps.py
+++ b/features/steps/state_edits_steps.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import orjson
 from behave import then
 from behave import when
 from marjoramstep_core.ids import EditKey
@@ -55,6 +56,17 @@
     context.replica.run(AdvanceTime(context.replica.now_ms))
 
 
+@when("{step_ms:d} ms pass without a command")
+def step_quiet(context: Any, step_ms: int) -> None:
+    context.replica.now_ms += step_ms
+
+
+@then("the snapshot holds the verdicts of the edit keys {keys}")
+def step_held(context: Any, keys: str) -> None:
+    document = orjson.loads(context.replica.machine.snapshot())
+    assert [verdict[0] for verdict in document["edits"]["verdicts"]] == keys.split(", ")
+
+
 @then("the state edit is accepted at version {version:d}")
 def step_accepted(context: Any, version: int) -> None:
     result = context.edit_result
--- a/features/steps/state_membership_steps.py
+++ b/features/steps/state_membership_steps.py
@@ -80,6 +80,24 @@
     _announce(context, server, service, state, order)
 
 
+@when(
+    'server "{server}" announces itself {count:d} times with leases from {most:d} down '
+    "to {least:d} ms"
+)
+def step_leases(context: Any, server: str, count: int, most: int, least: int) -> None:
+    for number in range(count):
+        lease_ms = float(most if number % 2 else least)
+        context.clock.advance_ms(900)
+        context.registry.tick()
+        message = _message(server, "pay", "ready", (1, number + 1), lease_ms)
+        context.registry.register(message)
+
+
+@then("the membership registry has at most {count:d} scheduled checks")
+def step_scheduled(context: Any, count: int) -> None:
+    assert 0 < context.registry.scheduled_count <= count
+
+
 @when('watcher "{watcher}" is removed from the registry')
 def step_unwatch(context: Any, watcher: str) -> None:
     context.registry.unwatch(NodeId(watcher))
--- a/packages/state/src/marjoramstep_state/membership/registry.py
+++ b/packages/state/src/marjoramstep_state/membership/registry.py
@@ -165,6 +165,11 @@
         """
         return self._expiry[0][0] if self._expiry else None
 
+    @property
+    def scheduled_count(self) -> int:
+        """Number of scheduled checks; it must follow members, not heartbeats."""
+        return len(self._expiry)
+
     def members(self, service: ServiceName) -> list[Member]:
         """Return the members of a service.
 
