Report a broken command of another package as one error line

Cause: an entry point that cannot be imported ended in a traceback, and the check of scheduled leases was too wide to notice a schedule that grows with each heartbeat. Change: parsing runs under the same error handling as the command; one more scenario for equal leases. Conclusion: both points are covered.

--- a/features/command/main.feature
+++ b/features/command/main.feature
@@ -179,3 +179,9 @@
     Given a package whose entry point adds the command "echo-text"
     When the operator runs "echo-text hello"
     Then the command exits with 3 and prints "hello"
+
+  Scenario: A broken entry point of another package ends in one error line
+    Given a package whose entry point adds the command "echo-text"
+    And the added command's module is missing
+    When the operator runs "table columns"
+    Then the command exits with 1 and one error line naming "added_command"
--- a/features/state/membership.feature
+++ b/features/state/membership.feature
@@ -38,7 +38,11 @@
 
   Scenario: Heartbeats and short leases do not let the scheduled checks grow
     When server "s1" announces itself 500 times with leases from 9000 down to 1000 ms
-    Then the membership registry has at most 15 scheduled checks
+    Then the membership registry has at most 8 scheduled checks
+
+  Scenario: Heartbeats with equal leases need one scheduled check
+    When server "s1" announces itself 500 times with leases from 9000 down to 9000 ms
+    Then the membership registry has at most 1 scheduled checks
 
   Scenario: A late announcement does not bring back a member that is gone
     When server "s1" of service "pay" announces "ready" as 1.5
--- a/features/steps/command_main_steps.py
+++ b/features/steps/command_main_steps.py
@@ -265,5 +265,12 @@
     (info / "entry_points.txt").write_text(entry)
     source = "def handler(text: str) -> int:\n    print(text)\n    return 3\n"
     (Path(folder) / "added_command.py").write_text(source)
+    context.added_path = Path(folder) / "added_command.py"
     sys.path.insert(0, folder)
     context.stack.callback(sys.path.remove, folder)
+    context.stack.callback(sys.modules.pop, "added_command", None)
+
+
+@given("the added command's module is missing")
+def step_missing_module(context: Any) -> None:
+    context.added_path.unlink()
--- a/packages/command/src/marjoramstep_command/main.py
+++ b/packages/command/src/marjoramstep_command/main.py
@@ -29,11 +29,9 @@
     :return: exit status
     """
     try:
-        call = _parse(argv)
+        return int(_parse(argv)() or ExitStatus.OK)
     except SystemExit as error:
         return int(error.code or 0)
-    try:
-        return int(call() or ExitStatus.OK)
     except MarjoramstepError as error:
         write_error(str(error))
         return exit_status_of(error)
