Reduce the cost of an admission decision

Cause: arrive and finish computed the limit and hashed enums several times per call. Change: the limit is a plain attribute, size classes are indexed by a flag, and dispatch runs only when something can have become startable. Sums of work by weight use blocks. A window of the adaptive limit starts once in-flight calls have settled.

--- /dev/null
+++ b/features/steps/policy_admission_support.py
@@ -0,0 +1,124 @@
+"""Backend server on a manual clock that runs calls for an admission control."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.states import SizeClass
+from marjoramstep_core.table import Row
+from marjoramstep_policy.admission import ADMISSION_VARIANTS
+from marjoramstep_policy.admission import AdmissionRequest
+from marjoramstep_policy.admission import Decision
+from marjoramstep_policy.admission import Start
+
+
+def make_row(name: str, **cells: object) -> Row:
+    """Build a row with short calls of 20 ms unless told otherwise."""
+    base: dict[str, object] = {"size_class": "short", "expected_ms": 20}
+    return Row.from_cells({**base, "name": name, **cells})
+
+
+@dataclass
+class Call:
+    """What happened to one call; times in milliseconds."""
+
+    request: AdmissionRequest
+    work_ms: float
+    arrived_ms: float
+    decision: Decision | None = None
+    decided_ms: float = -1.0
+    finished_ms: float = -1.0
+
+
+class FakeServer:
+    """Shares its capacity among the calls in flight, in steps of 1 ms.
+
+    Up to ``capacity`` calls run at full speed; more share the same throughput.
+    ``slowdown`` divides the speed of each call.
+    """
+
+    def __init__(self, variant: str, slots: int, capacity: float, seed: int) -> None:
+        self.clock = ManualClock()
+        self.admission = ADMISSION_VARIANTS.get(variant)(self.clock, slots)
+        self.slots = slots
+        self.capacity = capacity
+        self.slowdown = 1.0
+        self.rng = Random(seed)
+        self.calls: dict[int, Call] = {}
+        self.running: dict[int, float] = {}
+        self.peak_in_flight = 0
+        self.finished: list[Call] = []
+
+    def note(self, decisions: list[Decision]) -> None:
+        """Record decisions; a second one on a call is an error."""
+        for decision in decisions:
+            call = self.calls[decision.call_id]
+            assert call.decision is None, f"second decision {decision} on {call}"
+            call.decision = decision
+            call.decided_ms = self.clock.now_ms()
+            if isinstance(decision, Start):
+                self.running[decision.call_id] = call.work_ms
+        self.peak_in_flight = max(self.peak_in_flight, len(self.running))
+
+    def arrive(
+        self,
+        row: Row,
+        *,
+        work_ms: float = 20.0,
+        weight: int | None = None,
+        depth: int = 0,
+        deadline_in_ms: float = 60_000.0,
+    ) -> Call:
+        """Let a call arrive now; return its record."""
+        now_ms = self.clock.now_ms()
+        request = AdmissionRequest(
+            call_id=len(self.calls),
+            row=row,
+            weight=row.weight if weight is None else weight,
+            depth=depth,
+            deadline_ms=now_ms + deadline_in_ms,
+            size_class=SizeClass(row.size_class.value),
+        )
+        call = self.calls[request.call_id] = Call(request, work_ms, now_ms)
+        self.note(self.admission.arrive(request))
+        return call
+
+    def step(self) -> None:
+        """Advance 1 ms, finish what is done and wake the admission control."""
+        self.clock.advance_ms(1.0)
+        if self.running:
+            speed = min(1.0, self.capacity / len(self.running)) / self.slowdown
+            for call_id in list(self.running):
+                self.running[call_id] -= speed
+                if self.running[call_id] <= 0:
+                    self.finish(call_id)
+        wakeup_ms = self.admission.next_wakeup_ms()
+        if wakeup_ms is not None and wakeup_ms <= self.clock.now_ms():
+            self.note(self.admission.tick())
+
+    def finish(self, call_id: int) -> None:
+        """End a call in flight with success."""
+        del self.running[call_id]
+        call = self.calls[call_id]
+        call.finished_ms = self.clock.now_ms()
+        self.finished.append(call)
+        self.note(self.admission.finish(call_id, succeeded=True))
+
+    def run(
+        self, duration_ms: int, each_ms: Callable[[], object] = lambda: None
+    ) -> None:
+        """Step for a time; ``each_ms`` lets calls arrive before each step."""
+        for _ in range(duration_ms):
+            each_ms()
+            self.step()
+
+    def drain(self) -> None:
+        """Step until each call is decided and finished."""
+        for _ in range(200_000):
+            if not self.running and not self.admission.load().queue_length:
+                return
+            self.step()
+        raise AssertionError(f"not drained: {self.admission.load()}")
--- a/packages/policy/src/marjoramstep_policy/admission/baseline.py
+++ b/packages/policy/src/marjoramstep_policy/admission/baseline.py
@@ -11,7 +11,7 @@
 from marjoramstep_core.states import Reason
 
 from .controller import AdmissionController
-from .controller import check_slots
+from .limit import check_slots
 from .messages import Admission
 from .messages import AdmissionLoad
 from .messages import Decision
--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -11,6 +11,7 @@
 
 from .limit import AdaptiveLimit
 from .limit import FixedLimit
+from .limit import check_slots
 from .messages import AdmissionLoad
 from .messages import Decision
 from .messages import Refuse
@@ -98,13 +99,21 @@
             )
         now_ms = self._clock.now_ms()
         decisions = self._expire(now_ms)
-        self._row_limits[request.row.name] = request.row.concurrency_share_percent
-        # Calls that can start now go first, so that a free slot is never seen as taken.
-        self._dispatch(now_ms, decisions)
-        reason = self._hopeless(now_ms, request)
-        if reason is not None:
-            decisions.append(self._refuse(now_ms, request, reason))
-        elif self._has_slot(request):
+        row = request.row
+        share_changed = (
+            self._row_limits.get(row.name, 100) != row.concurrency_share_percent
+        )
+        if share_changed:
+            self._row_limits[row.name] = row.concurrency_share_percent
+            self._queue.unpark((row.name,))
+        if decisions or share_changed:
+            self._dispatch(now_ms, decisions)
+        # What is left in the queue cannot start, so a call that can overtakes none.
+        is_long = request.size_class is SizeClass.LONG
+        has_slot = self._class_has_slot(is_long) and self._row_has_slot(row.name)
+        if self._is_hopeless(now_ms, request, has_slot):
+            decisions.append(self._refuse(now_ms, request, Reason.DEADLINE))
+        elif has_slot:
             self._start(now_ms, request, decisions)
         else:
             self._enqueue(now_ms, request, decisions)
@@ -219,15 +228,9 @@
 
     def _dispatch(self, now_ms: float, decisions: list[Decision]) -> None:
         while len(self._queue):
-            heads = [
-                head
-                for size in SizeClass
-                if self._class_has_slot(size)
-                and (head := self._queue.first(size, self._row_has_slot)) is not None
-            ]
-            if not heads:
+            entry = self._next_entry()
+            if entry is None:
                 return
-            entry = min(heads, key=lambda head: head[0])[1]
             self._queue.remove(entry)
             request = entry.request
             if self._misses_deadline(now_ms, request, 0.0):
@@ -237,24 +240,31 @@
             self._queue_delay_ms += DELAY_SMOOTHING * (waited_ms - self._queue_delay_ms)
             self._start(now_ms, request, decisions)
 
-    def _class_has_slot(self, size: SizeClass) -> bool:
+    def _next_entry(self) -> QueueEntry | None:
+        queue = self._queue
+        short = long = None
+        if queue.class_count(False) and self._class_has_slot(False):
+            short = queue.first(False, self._row_has_slot)
+        if queue.class_count(True) and self._class_has_slot(True):
+            long = queue.first(True, self._row_has_slot)
+        if short is None or (long is not None and long[0] < short[0]):
+            return long[1] if long else None
+        return short[1]
+
+    def _class_has_slot(self, is_long: bool) -> bool:
         limit = self._limit.value
         in_flight = len(self._running)
-        if size is SizeClass.SHORT:
-            if in_flight < limit:
-                return True
-            # Long calls that started under a higher limit must not block short ones.
-            short = in_flight - self._running_long
-            return (
-                self._limit_long
-                and in_flight < self._slots
-                and short < limit - self._long_limit(limit)
-            )
         if not self._limit_long:
             return in_flight < limit
-        if limit == 1:
-            return in_flight == 0 and not self._queue.class_count(SizeClass.SHORT)
-        return in_flight < limit and self._running_long < self._long_limit(limit)
+        if is_long and limit == 1:
+            return in_flight == 0 and not self._queue.class_count(False)
+        if is_long:
+            return in_flight < limit and self._running_long < self._long_limit(limit)
+        if in_flight < limit:
+            return True
+        # Long calls that started under a higher limit must not block short ones.
+        short = in_flight - self._running_long
+        return in_flight < self._slots and short < limit - self._long_limit(limit)
 
     @staticmethod
     def _long_limit(limit: int) -> int:
@@ -267,12 +277,6 @@
         row_limit = max(1, self._limit.value * share // 100)
         return self._running_by_row.get(name, 0) < row_limit
 
-    def _has_slot(self, request: AdmissionRequest) -> bool:
-        # Entries left in the queue after dispatch cannot start, so none is overtaken.
-        return self._class_has_slot(request.size_class) and self._row_has_slot(
-            request.row.name
-        )
-
     def _start(
         self, now_ms: float, request: AdmissionRequest, decisions: list[Decision]
     ) -> None:
@@ -299,7 +303,14 @@
         )
         self._sequence += 1
         self._queue.push(
-            QueueEntry(request, self._sequence, now_ms, expires_ms, work_ms)
+            QueueEntry(
+                request,
+                self._sequence,
+                now_ms,
+                expires_ms,
+                work_ms,
+                request.size_class is SizeClass.LONG,
+            )
         )
 
     def _make_room(self, request: AdmissionRequest) -> AdmissionRequest | None:
@@ -322,13 +333,15 @@
     def _queue_bound(self) -> int:
         return max(MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._slots)
 
-    def _hopeless(self, now_ms: float, request: AdmissionRequest) -> Reason | None:
-        wait_ms = 0.0 if self._has_slot(request) else self._wait_ms(request)
+    def _is_hopeless(
+        self, now_ms: float, request: AdmissionRequest, has_slot: bool
+    ) -> bool:
+        wait_ms = 0.0 if has_slot else self._wait_ms(now_ms, request)
         if not self._misses_deadline(now_ms, request, wait_ms):
-            return None
-        if not self._misses_deadline(now_ms, request, 0.0):
+            return False
+        if not has_slot and not self._misses_deadline(now_ms, request, 0.0):
             self._admitted.note_shed(now_ms, request.weight)
-        return Reason.DEADLINE
+        return True
 
     def _misses_deadline(
         self, now_ms: float, request: AdmissionRequest, wait_ms: float
@@ -341,13 +354,13 @@
         expected_ms = self._service_times.expected_ms(now_ms, request.row)
         return now_ms + wait_ms + expected_ms > request.deadline_ms
 
-    def _wait_ms(self, request: AdmissionRequest) -> float:
+    def _wait_ms(self, now_ms: float, request: AdmissionRequest) -> float:
         limit = self._limit.value
-        size = request.size_class
-        work_ms = self._queue.work_ahead_ms(size, request.weight)
+        is_long = request.size_class is SizeClass.LONG
+        work_ms = self._queue.work_ahead_ms(is_long, request.weight)
         # The next slot is expected to free up after a share of one service time.
-        work_ms += self._service_times.expected_ms(self._clock.now_ms(), request.row)
-        if size is SizeClass.LONG and self._limit_long:
+        work_ms += self._service_times.expected_ms(now_ms, request.row)
+        if is_long and self._limit_long:
             return work_ms / max(1, self._long_limit(limit))
         return work_ms / max(1, limit - self._running_long)
 
@@ -356,7 +369,7 @@
     ) -> Refuse:
         if reason in OVERLOAD_REASONS:
             self._admitted.note_shed(now_ms, request.weight)
-        wait_ms = int(self._wait_ms(request))
+        wait_ms = int(self._wait_ms(now_ms, request))
         return Refuse(
             request.call_id,
             reason,
@@ -365,24 +378,14 @@
 
     def _watch_delay(self, now_ms: float, decisions: list[Decision]) -> None:
         standing = self._delays.standing
-        oldest = self._queue.least_important(SizeClass.SHORT)
+        oldest = None
         # With a free slot, only the limit of a row keeps its calls waiting.
-        if oldest is None or self._class_has_slot(SizeClass.SHORT):
+        if self._queue.class_count(False) and not self._class_has_slot(False):
+            oldest = self._queue.least_important(False)
+        if oldest is None:
             self._delays.observe(now_ms, 0.0)
         elif self._delays.observe(now_ms, now_ms - oldest.arrived_ms):
             self._queue.remove(oldest)
             decisions.append(self._refuse(now_ms, oldest.request, Reason.OVERLOAD))
         if self._delays.standing != standing:
             self._queue.set_newest_first(self._delays.standing)
-
-
-def check_slots(slots: int) -> None:
-    """Check a number of slots.
-
-    :param slots: number to check
-    :raises InvalidInputError: if it is below 1
-    """
-    if slots < 1:
-        raise InvalidInputError(
-            f"slots must be at least 1, found {slots}", step="set slots"
-        )
--- a/packages/policy/src/marjoramstep_policy/admission/limit.py
+++ b/packages/policy/src/marjoramstep_policy/admission/limit.py
@@ -5,17 +5,19 @@
 import math
 from typing import TYPE_CHECKING
 
+from marjoramstep_core.errors import InvalidInputError
+
 
 if TYPE_CHECKING:
     from marjoramstep_core.ids import RowName
 
 # A window closes after this many calls that started in it. With exponential service
-# times the mean of 48 has a standard error of 14%.
-MIN_WINDOW_SAMPLES = 48
+# times the mean of 72 has a standard error of 12%.
+MIN_WINDOW_SAMPLES = 72
 WINDOW_TURNS = 2
 # Two windows show the effect of concurrency only if it differs by at least 8%.
 MIN_CONCURRENCY_CHANGE_LOG = 0.08
-# At equal concurrency, a change by half is more than two standard errors.
+# At equal concurrency, a change by half is more than two standard errors of the ratio.
 LATENCY_JUMP_LOG = math.log(1.5)
 # A knee estimated above this share of the higher concurrency counts as not reached.
 KNEE_REACHED_SHARE = 0.88
@@ -24,7 +26,12 @@
 MAX_UP_FACTOR = 2.0
 # Windows at an unchanged limit between two trials of another limit.
 HOLD_WINDOWS = 3
+# A trial of a lower limit costs throughput, so only one trial in this many is one.
+DOWN_PROBE_INTERVAL = 4
 SATURATED_SHARE = 0.8
+# After a decrease, a window starts once the calls above the limit have finished. Long
+# calls may hold their slots for minutes and must not stop the measurement.
+SETTLE_LIMIT_MS = 1000.0
 
 
 class AdaptiveLimit:
@@ -36,15 +43,19 @@
     compared row by row, so a changed mix of rows is not taken for a slowdown.
 
     :param slots: announced slots
+
+    The attribute ``value`` holds the present limit.
     """
 
     def __init__(self, slots: int) -> None:
         self._slots = slots
         self._limit = float(slots)
+        self.value = slots
         self._in_flight = 0
         self._window_start_ms = 0.0
         self._area = 0.0
         self._changed_ms = 0.0
+        self._settling = False
         self._sums: dict[RowName, list[float]] = {}
         self._samples = 0
         self._previous: tuple[float, dict[RowName, list[float]]] | None = None
@@ -53,12 +64,7 @@
         self._lowest_level = 0.0
         self._up_factor = UP_FACTOR
         self._held = 0
-        self._probe_down_next = False
-
-    @property
-    def value(self) -> int:
-        """Present limit."""
-        return max(1, min(self._slots, int(self._limit + 0.5)))
+        self._probes = 0
 
     def set_slots(self, slots: int) -> None:
         """Follow the announced slots.
@@ -67,6 +73,7 @@
         """
         if self.value >= self._slots or self._limit > slots:
             self._limit = float(slots)
+            self.value = slots
         self._slots = slots
 
     def set_in_flight(self, now_ms: float, in_flight: int) -> None:
@@ -78,6 +85,12 @@
         self._area += self._in_flight * (now_ms - self._changed_ms)
         self._changed_ms = now_ms
         self._in_flight = in_flight
+        if self._settling and (
+            in_flight <= self.value or now_ms - self._window_start_ms > SETTLE_LIMIT_MS
+        ):
+            self._settling = False
+            self._window_start_ms = now_ms
+            self._area = 0.0
 
     def observe(self, now_ms: float, row: RowName, start_ms: float) -> bool:
         """Note the end of a call.
@@ -87,7 +100,7 @@
         :param start_ms: time of its start in milliseconds
         :return: whether the limit changed
         """
-        if start_ms < self._window_start_ms:
+        if self._settling or start_ms < self._window_start_ms:
             return False
         entry = self._sums.setdefault(row, [0.0, 0.0])
         entry[0] += now_ms - start_ms
@@ -116,7 +129,9 @@
         self._area = 0.0
         self._window_start_ms = now_ms
         self._limit = min(max(self._limit, 1.0), float(self._slots))
+        self.value = int(self._limit + 0.5)
         self._held = self._held + 1 if self.value == before else 0
+        self._settling = self.value < before
 
     def _decide(self, previous: float, current: float, change: float) -> None:
         moved = math.log(current / previous)
@@ -155,8 +170,8 @@
 
     def _probe(self, current: float) -> None:
         raised = self._level > self._lowest_level + LATENCY_JUMP_LOG / 2
-        down = raised and (self._probe_down_next or self.value >= self._slots)
-        self._probe_down_next = not self._probe_down_next
+        self._probes += 1
+        down = raised and self._probes % DOWN_PROBE_INTERVAL == 0
         if down:
             self._limit = min(current * DOWN_FACTOR, current - 1.0)
             # A level that stays raised becomes the normal one, or probing would go on.
@@ -195,3 +210,15 @@
         total += shared * math.log(mean_ms / previous_mean_ms)
         weight += shared
     return total / weight if weight else 0.0
+
+
+def check_slots(slots: int) -> None:
+    """Check a number of slots.
+
+    :param slots: number to check
+    :raises InvalidInputError: if it is below 1
+    """
+    if slots < 1:
+        raise InvalidInputError(
+            f"slots must be at least 1, found {slots}", step="set slots"
+        )
--- a/packages/policy/src/marjoramstep_policy/admission/queue.py
+++ b/packages/policy/src/marjoramstep_policy/admission/queue.py
@@ -7,8 +7,6 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
-from marjoramstep_core.states import SizeClass
-
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,9 +17,13 @@
     from .messages import AdmissionRequest
 
 Key = tuple[float, ...]
-MAX_WEIGHT = 1000
+# Weights go up to 1000. Blocks of 32 make a sum over weights add at most 64 numbers.
+BLOCK_WEIGHTS = 32
+BLOCKS = 32
 # Removed entries stay in a heap until they reach its top or outnumber the rest.
 COMPACTION_SLACK = 64
+# Rows that were dropped from the table are forgotten when there are many lanes.
+MIN_SWEEP_LANES = 256
 
 
 @dataclass(slots=True, eq=False)
@@ -33,6 +35,7 @@
     :param arrived_ms: time of arrival in milliseconds
     :param expires_ms: latest time of start in milliseconds
     :param work_ms: expected service time in milliseconds
+    :param is_long: whether the size class is ``LONG``
     :param queued: false once the entry has left the queue
     """
 
@@ -41,6 +44,7 @@
     arrived_ms: float
     expires_ms: float
     work_ms: float
+    is_long: bool
     queued: bool = True
 
 
@@ -114,10 +118,11 @@
 
 
 class WeightSums:
-    """Fenwick tree of expected work by weight."""
+    """Expected work by weight, with sums over blocks of weights."""
 
     def __init__(self) -> None:
-        self._sums = [0.0] * (MAX_WEIGHT + 1)
+        self._sums = [0.0] * (BLOCK_WEIGHTS * BLOCKS)
+        self._blocks = [0.0] * BLOCKS
 
     def add(self, weight: int, work_ms: float) -> None:
         """Add work.
@@ -125,10 +130,8 @@
         :param weight: from 1 to 1000
         :param work_ms: milliseconds, negative to take away
         """
-        index = MAX_WEIGHT + 1 - weight
-        while index <= MAX_WEIGHT:
-            self._sums[index] += work_ms
-            index += index & -index
+        self._sums[weight] += work_ms
+        self._blocks[weight // BLOCK_WEIGHTS] += work_ms
 
     def at_least(self, weight: int) -> float:
         """Return the work of a weight and all higher ones.
@@ -136,12 +139,9 @@
         :param weight: from 1 to 1001
         :return: milliseconds
         """
-        index = MAX_WEIGHT + 1 - weight
-        total = 0.0
-        while index > 0:
-            total += self._sums[index]
-            index -= index & -index
-        return max(total, 0.0)
+        block = weight // BLOCK_WEIGHTS + 1
+        total = sum(self._sums[weight : block * BLOCK_WEIGHTS])
+        return max(total + sum(self._blocks[block:]), 0.0)
 
 
 class Lane:
@@ -164,17 +164,17 @@
     def __init__(self) -> None:
         self._order: Callable[[QueueEntry], Key] = deadline_order
         self._pushes = count()
+        self._sweep_lanes = MIN_SWEEP_LANES
         self._entries: dict[int, QueueEntry] = {}
-        self._lanes: dict[tuple[RowName, SizeClass], Lane] = {}
-        self._ready: dict[SizeClass, list[tuple[Key, int, Lane]]] = {
-            size: [] for size in SizeClass
-        }
-        self._victims = {size: EntryHeap(victim_order) for size in SizeClass}
+        self._lanes: dict[tuple[RowName, bool], Lane] = {}
+        # Pairs are indexed by whether the size class is LONG.
+        self._ready: tuple[list[tuple[Key, int, Lane]], ...] = ([], [])
+        self._victims = (EntryHeap(victim_order), EntryHeap(victim_order))
         self._row_victims: dict[RowName, EntryHeap] = {}
         self._expiry = EntryHeap(expiry_order)
         self._row_counts: dict[RowName, int] = {}
-        self._class_counts = dict.fromkeys(SizeClass, 0)
-        self._work = {size: WeightSums() for size in SizeClass}
+        self._class_counts = [0, 0]
+        self._work = (WeightSums(), WeightSums())
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -198,23 +198,23 @@
         """
         return self._row_counts.get(row, 0)
 
-    def class_count(self, size: SizeClass) -> int:
+    def class_count(self, is_long: bool) -> int:
         """Return the number of entries of a size class.
 
-        :param size: the size class
+        :param is_long: whether of the size class ``LONG``
         :return: number of entries
         """
-        return self._class_counts[size]
+        return self._class_counts[is_long]
 
-    def work_ahead_ms(self, size: SizeClass, weight: int) -> float:
+    def work_ahead_ms(self, is_long: bool, weight: int) -> float:
         """Return the expected work that starts before a new arrival.
 
-        :param size: size class of the arrival
+        :param is_long: whether the arrival is of the size class ``LONG``
         :param weight: weight of the arrival
         :return: sum of expected service times in milliseconds
         """
         lowest = weight if self._order is deadline_order else weight + 1
-        return self._work[size].at_least(lowest)
+        return self._work[is_long].at_least(lowest)
 
     def push(self, entry: QueueEntry) -> None:
         """Add an entry.
@@ -222,21 +222,19 @@
         :param entry: the entry to add
         """
         request = entry.request
-        row, size = request.row.name, request.size_class
-        lane = self._lanes.get((row, size))
+        row, is_long = request.row.name, entry.is_long
+        lane = self._lanes.get((row, is_long))
         if lane is None:
-            lane = self._lanes[(row, size)] = Lane(row, self._order)
+            lane = self._add_lane(row, is_long)
         self._entries[request.call_id] = entry
         lane.heap.push(entry)
-        self._offer(lane, size)
-        self._victims[size].push(entry)
-        if row not in self._row_victims:
-            self._row_victims[row] = EntryHeap(victim_order)
+        self._offer(lane, is_long)
+        self._victims[is_long].push(entry)
         self._row_victims[row].push(entry)
         self._expiry.push(entry)
-        self._row_counts[row] = self._row_counts.get(row, 0) + 1
-        self._class_counts[size] += 1
-        self._work[size].add(request.weight, entry.work_ms)
+        self._row_counts[row] += 1
+        self._class_counts[is_long] += 1
+        self._work[is_long].add(request.weight, entry.work_ms)
 
     def remove(self, entry: QueueEntry) -> None:
         """Take an entry out.
@@ -244,36 +242,33 @@
         :param entry: an entry that waits
         """
         request = entry.request
-        row, size = request.row.name, request.size_class
+        row, is_long = request.row.name, entry.is_long
         entry.queued = False
         del self._entries[request.call_id]
         self._row_counts[row] -= 1
-        self._class_counts[size] -= 1
-        self._work[size].add(request.weight, -entry.work_ms)
-        lane = self._lanes[(row, size)]
+        self._class_counts[is_long] -= 1
+        self._work[is_long].add(request.weight, -entry.work_ms)
+        lane = self._lanes[(row, is_long)]
         for heap in (
             lane.heap,
-            self._victims[size],
+            self._victims[is_long],
             self._row_victims[row],
             self._expiry,
         ):
             heap.note_removed()
-        if self._row_counts[row] == 0:
-            self._forget_row(row)
-        else:
-            self._offer(lane, size)
+        self._offer(lane, is_long)
 
     def first(
-        self, size: SizeClass, may_start: Callable[[RowName], bool]
+        self, is_long: bool, may_start: Callable[[RowName], bool]
     ) -> tuple[Key, QueueEntry] | None:
         """Return the entry of a size class that starts next.
 
-        :param size: the size class
+        :param is_long: whether of the size class ``LONG``
         :param may_start: whether a row may start another call; a row that may not is
             left out until :meth:`unpark`
         :return: its key and the entry, or ``None``
         """
-        ready = self._ready[size]
+        ready = self._ready[is_long]
         while ready:
             key, _, lane = ready[0]
             head = lane.heap.peek()
@@ -292,19 +287,19 @@
         :param rows: names of rows; all rows if left out
         """
         for row in {key[0] for key in self._lanes} if rows is None else rows:
-            for size in SizeClass:
-                lane = self._lanes.get((row, size))
+            for is_long in (False, True):
+                lane = self._lanes.get((row, is_long))
                 if lane is not None and lane.parked:
                     lane.parked = False
-                    self._offer(lane, size)
+                    self._offer(lane, is_long)
 
-    def least_important(self, size: SizeClass) -> QueueEntry | None:
+    def least_important(self, is_long: bool) -> QueueEntry | None:
         """Return the oldest entry of the lowest weight of a size class.
 
-        :param size: the size class
+        :param is_long: whether of the size class ``LONG``
         :return: the entry, or ``None`` if none waits
         """
-        head = self._victims[size].peek()
+        head = self._victims[is_long].peek()
         return head[1] if head else None
 
     def victim(self, row: RowName | None = None) -> QueueEntry | None:
@@ -317,7 +312,7 @@
             heap = self._row_victims.get(row)
             head = heap.peek() if heap else None
         else:
-            heads = [heap.peek() for heap in self._victims.values()]
+            heads = [heap.peek() for heap in self._victims]
             head = min((h for h in heads if h), default=None, key=lambda h: h[0])
         return head[1] if head else None
 
@@ -335,31 +330,43 @@
         :param newest_first: newest arrival first, or else earliest deadline first
         """
         self._order = newest_order if newest_first else deadline_order
-        for ready in self._ready.values():
+        for ready in self._ready:
             ready.clear()
-        for (_, size), lane in self._lanes.items():
+        for (_, is_long), lane in self._lanes.items():
             lane.heap.reorder(self._order)
             lane.parked = False
             lane.offered = None
-            self._offer(lane, size)
+            self._offer(lane, is_long)
 
-    def _offer(self, lane: Lane, size: SizeClass) -> None:
+    def _offer(self, lane: Lane, is_long: bool) -> None:
         head = lane.heap.peek()
         if lane.parked or head is None or head[0] == lane.offered:
             return
-        ready = self._ready[size]
+        ready = self._ready[is_long]
         if len(ready) > 2 * len(self._lanes) + COMPACTION_SLACK:
             ready[:] = [item for item in ready if item[0] == item[2].offered]
             heapq.heapify(ready)
         lane.offered = head[0]
         heapq.heappush(ready, (head[0], next(self._pushes), lane))
 
-    def _forget_row(self, row: RowName) -> None:
-        del self._row_counts[row]
-        del self._row_victims[row]
-        for size in SizeClass:
-            lane = self._lanes.pop((row, size), None)
-            if lane is not None:
-                # Items of this lane in the ready heap are then passed over.
-                lane.parked = True
-                lane.offered = None
+    def _add_lane(self, row: RowName, is_long: bool) -> Lane:
+        if len(self._lanes) >= self._sweep_lanes:
+            self._drop_idle_rows()
+            self._sweep_lanes = 2 * len(self._lanes) + MIN_SWEEP_LANES
+        self._row_counts.setdefault(row, 0)
+        if row not in self._row_victims:
+            self._row_victims[row] = EntryHeap(victim_order)
+        lane = self._lanes[(row, is_long)] = Lane(row, self._order)
+        return lane
+
+    def _drop_idle_rows(self) -> None:
+        idle = [row for row, waiting in self._row_counts.items() if not waiting]
+        for row in idle:
+            del self._row_counts[row]
+            del self._row_victims[row]
+            for is_long in (False, True):
+                lane = self._lanes.pop((row, is_long), None)
+                if lane is not None:
+                    # Items of this lane in the ready heap are then passed over.
+                    lane.parked = True
+                    lane.offered = None
