Add features for admission control and backpressure

Cause: the decisions had no tests. The controller wakes up to observe the delay of the least important call; before, a standing queue without arrivals was noticed only at its first expiry. Each main rule also has a scenario with the variant that has the decision turned off.

--- /dev/null
+++ b/features/steps/policy_admission_steps.py
@@ -0,0 +1,439 @@
+"""Steps for admission control."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.states import Reason
+from marjoramstep_policy.admission import SIZE_CLASS_VARIANTS
+from marjoramstep_policy.admission import Refuse
+from marjoramstep_policy.admission import Start
+from policy_admission_support import FakeServer
+from policy_admission_support import make_row
+
+
+CALL_MS = 20.0
+OVERLOAD_WEIGHTS = (10, 100, 900)
+
+
+@given('an admission server "{variant}" with {slots:d} slots and seed {seed:d}')
+def step_server(context: Any, variant: str, slots: int, seed: int) -> None:
+    context.server = FakeServer(variant, slots, float(slots), seed)
+
+
+@given("one running call that takes {duration:d} ms")
+def step_running(context: Any, duration: int) -> None:
+    context.blocker = context.server.arrive(make_row("blocker"), work_ms=duration)
+    assert isinstance(context.blocker.decision, Start)
+
+
+@when("weights 10, 100 and 900 arrive for 3 s at 3 times the capacity")
+def step_overload(context: Any) -> None:
+    server = context.server
+    rows = [make_row(f"w{w}", weight=w, queue_length=20) for w in OVERLOAD_WEIGHTS]
+    rate_per_ms = 3 * server.slots / CALL_MS
+    context.peak_admitted = 0
+
+    def feed() -> None:
+        due = rate_per_ms
+        while server.rng.random() < due:
+            # One call in five has the highest weight, which fits the capacity.
+            row = server.rng.choices(rows, (2, 2, 1))[0]
+            server.arrive(row, work_ms=CALL_MS, depth=server.rng.randrange(3))
+            due -= 1.0
+        admitted = server.admission.load().admitted_weight
+        context.peak_admitted = max(context.peak_admitted, admitted)
+
+    server.run(3000, feed)
+    server.drain()
+
+
+def _inversions(server: FakeServer) -> list[str]:
+    found = []
+    calls = list(server.calls.values())
+    starts = [c for c in calls if isinstance(c.decision, Start)]
+    for high in calls:
+        refused_at_once = (
+            isinstance(high.decision, Refuse) and high.decided_ms == high.arrived_ms
+        )
+        for low in starts:
+            if low.request.weight >= high.request.weight:
+                continue
+            waited = high.arrived_ms < low.decided_ms < high.decided_ms
+            passed_over = (
+                refused_at_once
+                and low.request.call_id < high.request.call_id
+                and high.decided_ms < low.decided_ms
+            )
+            if waited or passed_over:
+                found.append(f"{low} before {high}")
+    return found
+
+
+@then("no lower weight started while a higher weight waited or was refused")
+def step_no_inversion(context: Any) -> None:
+    refused = [
+        c for c in context.server.calls.values() if isinstance(c.decision, Refuse)
+    ]
+    assert len(refused) > 100, "the overload did not take place"
+    found = _inversions(context.server)
+    assert not found, found[:3]
+
+
+@then("some lower weight started while a higher weight waited")
+def step_inversion(context: Any) -> None:
+    assert _inversions(context.server)
+
+
+@then("weight 900 completes at least {share:d} percent of its calls")
+def step_highest(context: Any, share: int) -> None:
+    calls = [c for c in context.server.calls.values() if c.request.weight == 900]
+    done = sum(c.finished_ms > 0 for c in calls)
+    assert done * 100 >= share * len(calls), f"{done} of {len(calls)}"
+
+
+@then("the load reported an admitted weight above 10 during the overload")
+def step_admitted(context: Any) -> None:
+    assert context.peak_admitted > 10, context.peak_admitted
+
+
+@then("the load reports admitted weight 0 at 3 s after the overload")
+def step_admitted_zero(context: Any) -> None:
+    context.server.run(3000)
+    assert context.server.admission.load().admitted_weight == 0
+
+
+@when("a root of weight 500 and then a sub-call at depth 5 of weight 500 wait")
+def step_root_and_sub_call(context: Any) -> None:
+    server = context.server
+    # The sub-call's own row has a low weight; its root's weight must decide.
+    root = server.arrive(make_row("root", weight=500), deadline_in_ms=1000)
+    low_row = make_row("leaf", weight=1)
+    sub_call = server.arrive(low_row, weight=500, depth=5, deadline_in_ms=2000)
+    context.waiting = [sub_call, root]
+
+
+@when("a root of weight 400 with an earlier deadline waits in admission")
+def step_lighter(context: Any) -> None:
+    row = make_row("lighter", weight=400)
+    context.waiting.append(context.server.arrive(row, deadline_in_ms=500))
+
+
+@then("the waiting calls start in the order sub-call, root, lighter root")
+def step_order(context: Any) -> None:
+    context.server.drain()
+    starts = [call.decided_ms for call in context.waiting]
+    assert all(isinstance(call.decision, Start) for call in context.waiting)
+    assert starts == sorted(starts), starts
+
+
+@when("two calls of weight 10 and one of weight 20 share a row with room for 2")
+def step_evict(context: Any) -> None:
+    context.row = make_row("full", queue_length=2)
+    context.waiting = [
+        context.server.arrive(context.row, weight=weight) for weight in (10, 10, 20)
+    ]
+
+
+@then('the older call of weight 10 is refused as "{reason}"')
+def step_evicted(context: Any, reason: str) -> None:
+    decisions = [call.decision for call in context.waiting]
+    assert isinstance(decisions[0], Refuse), decisions
+    assert decisions[0].reason is Reason(reason)
+    assert decisions[1:] == [None, None], decisions
+
+
+@then('a further call of weight 10 in that row is refused as "{reason}"')
+def step_queue_full(context: Any, reason: str) -> None:
+    decision = context.server.arrive(context.row, weight=10).decision
+    assert isinstance(decision, Refuse)
+    assert decision.reason is Reason(reason)
+
+
+@when("the saturated server runs 2 s, slows down 5-fold by {kind} for 4 s and recovers")
+def step_slowdown(context: Any, kind: str) -> None:
+    server = context.server
+    row = make_row("steady", queue_length=1000, queue_wait_ms=100_000)
+    limits: list[int] = []
+
+    def feed() -> None:
+        while server.admission.load().queue_length < 100:
+            server.arrive(row, work_ms=server.rng.uniform(10, 30))
+        limits.append(server.admission.load().limit)
+
+    server.run(2000, feed)
+    context.healthy = len(server.finished)
+    if kind == "latency":
+        server.slowdown = 5.0
+    else:
+        server.capacity /= 5
+    server.run(4000, feed)
+    context.slowed = len(server.finished) - context.healthy
+    context.slow_limits = limits[-1000:]
+    server.slowdown, server.capacity = 1.0, float(server.slots)
+    context.recovered = []
+    for _ in range(30):
+        before = len(server.finished)
+        server.run(100, feed)
+        context.recovered.append(len(server.finished) - before)
+
+
+@then("throughput while slowed is at least {share:d} percent of what is possible")
+def step_slow_throughput(context: Any, share: int) -> None:
+    possible = context.healthy * 2 / 5
+    assert context.healthy > 3500, context.healthy
+    assert context.slowed <= possible * 1.1, "the slowdown did not take place"
+    assert context.slowed >= possible * share / 100, (context.slowed, possible)
+
+
+@then("full throughput is reached within {limit:d} ms after the slowdown")
+def step_recovery(context: Any, limit: int) -> None:
+    full = context.healthy / 20 * 0.9
+    reached = next(i for i, n in enumerate(context.recovered, 1) if n >= full)
+    assert reached * 100 <= limit, context.recovered
+
+
+@then(
+    "the mean limit in the last second of the slowdown is between {low:d} and {high:d}"
+)
+def step_limit(context: Any, low: int, high: int) -> None:
+    mean = sum(context.slow_limits) / len(context.slow_limits)
+    assert low <= mean <= high, mean
+
+
+@when("more long uploads than slots arrive and then short requests for 1 s")
+def step_uploads(context: Any) -> None:
+    server = context.server
+    long_row = make_row(
+        "scan", size_class="long", expected_ms=5000, queue_wait_ms=60_000, weight=900
+    )
+    short_row = make_row("lookup", queue_wait_ms=60_000)
+    for _ in range(server.slots * 2):
+        server.arrive(long_row, work_ms=5000.0, deadline_in_ms=600_000)
+    context.shorts = []
+    for _ in range(20):
+        context.shorts.append(server.arrive(short_row))
+        server.run(50)
+    server.drain()
+
+
+@then("the longest wait of a short request is {comparison} {limit:d} ms")
+def step_short_wait(context: Any, comparison: str, limit: int) -> None:
+    longest = max(
+        c.decided_ms - c.arrived_ms if isinstance(c.decision, Start) else math.inf
+        for c in context.shorts
+    )
+    assert (longest < limit) == (comparison == "below"), longest
+
+
+@when("a long upload arrives at the idle admission server")
+def step_one_upload(context: Any) -> None:
+    row = make_row("scan", size_class="long", expected_ms=5000)
+    context.call = context.server.arrive(row)
+
+
+@then("the long upload starts at once")
+@then("that call starts in admission")
+def step_starts(context: Any) -> None:
+    assert isinstance(context.call.decision, Start), context.call
+
+
+@when("{number:d} calls of 20 ms with a deadline of {deadline:d} ms arrive at once")
+def step_deadlines(context: Any, number: int, deadline: int) -> None:
+    row = make_row("urgent", queue_wait_ms=60_000)
+    context.calls = [
+        context.server.arrive(row, deadline_in_ms=deadline) for _ in range(number)
+    ]
+    context.server.drain()
+
+
+@then("{number} calls start after their deadline")
+def step_late(context: Any, number: str) -> None:
+    late = [
+        c
+        for c in context.calls
+        if isinstance(c.decision, Start) and c.decided_ms >= c.request.deadline_ms
+    ]
+    assert bool(late) == (number == "some"), len(late)
+
+
+@then('at least {number:d} of them are refused as "{reason}" on arrival')
+def step_refused_early(context: Any, number: int, reason: str) -> None:
+    early = [
+        c
+        for c in context.calls
+        if isinstance(c.decision, Refuse)
+        and c.decision.reason is Reason(reason)
+        and c.decided_ms == c.arrived_ms
+    ]
+    assert len(early) >= number, len(early)
+
+
+@then("all admission calls that started finish within their deadline")
+def step_in_time(context: Any) -> None:
+    finished = [c for c in context.calls if c.finished_ms > 0]
+    assert finished
+    assert all(c.finished_ms <= c.request.deadline_ms for c in finished)
+
+
+@when(
+    "a row's calls took {took:d} ms and a call with a deadline of {deadline:d} ms "
+    "comes to it idle"
+)
+def step_idle_row(context: Any, took: int, deadline: int) -> None:
+    row = make_row("slowed")
+    for _ in range(20):
+        context.server.arrive(row, work_ms=took)
+        context.server.drain()
+    context.call = context.server.arrive(row, deadline_in_ms=deadline)
+
+
+@when("10 calls of a row with a share of 30 percent arrive and one of another row")
+def step_share(context: Any) -> None:
+    row = make_row("limited", concurrency_share_percent=30)
+    context.calls = [context.server.arrive(row) for _ in range(10)]
+    context.call = context.server.arrive(make_row("other", weight=1))
+
+
+@then("3 calls of the limited row run and the other row's call runs")
+def step_share_kept(context: Any) -> None:
+    started = [isinstance(c.decision, Start) for c in context.calls]
+    assert started.count(True) == 3, started
+    assert isinstance(context.call.decision, Start)
+    context.server.drain()
+    assert all(isinstance(c.decision, Start) for c in context.calls)
+
+
+@when("a call of a row with a queue wait of {wait:d} ms waits")
+def step_waits(context: Any, wait: int) -> None:
+    context.call = context.server.arrive(make_row("patient", queue_wait_ms=wait))
+    context.server.run(400)
+
+
+@then('it is refused as "{reason}" after {wait:d} ms')
+def step_wait_over(context: Any, reason: str, wait: int) -> None:
+    call = context.call
+    assert isinstance(call.decision, Refuse), call
+    assert call.decision.reason is Reason(reason)
+    assert call.decided_ms - call.arrived_ms == wait, call
+
+
+@when("3 calls of weight 10 and 2 of weight 20 wait for 130 ms")
+def step_standing(context: Any) -> None:
+    row = make_row("mixed", queue_wait_ms=60_000)
+    context.waiting = []
+    for weight in (10, 20, 10, 20, 10):
+        context.waiting.append(context.server.arrive(row, weight=weight))
+    context.server.run(130)
+
+
+@then("only the oldest call of weight 10 is dropped")
+def step_dropped(context: Any) -> None:
+    decisions = [call.decision for call in context.waiting]
+    assert isinstance(decisions[0], Refuse), decisions
+    assert decisions[0].reason is Reason.OVERLOAD
+    assert decisions[1:] == [None] * 4, decisions
+
+
+@then("the newest call of weight 20 starts first")
+def step_newest(context: Any) -> None:
+    context.server.run(15)
+    started = [isinstance(c.decision, Start) for c in context.waiting]
+    assert started == [False, False, False, True, False], started
+
+
+@when("{number:d} random arrivals, ends, cancellations and changes of slots happen")
+def step_random(context: Any, number: int) -> None:
+    server, rng = context.server, context.server.rng
+    rows = [
+        make_row(
+            f"r{i}",
+            size_class=rng.choice(("short", "long")),
+            queue_length=rng.randrange(6),
+            queue_wait_ms=rng.choice((0, 10, 200, 5000)),
+            concurrency_share_percent=rng.choice((1, 30, 100)),
+            expected_ms=rng.choice((1, 20, 400)),
+        )
+        for i in range(12)
+    ]
+    server.capacity = 1000.0
+    context.excess = []
+    for _ in range(number):
+        action = rng.random()
+        if action < 0.6:
+            server.arrive(
+                rng.choice(rows),
+                work_ms=rng.expovariate(1 / 40),
+                weight=rng.randint(1, 1000),
+                depth=rng.randrange(3),
+                deadline_in_ms=rng.choice((0, 5, 100, 3000)),
+            )
+        elif action < 0.65:
+            server.note(server.admission.cancel(rng.randrange(len(server.calls) + 1)))
+        elif action < 0.67:
+            server.slots = max(1, server.slots + rng.choice((-1, 1)))
+            server.note(server.admission.set_slots(server.slots))
+        else:
+            # Time steps of different length also test wake-ups that come late.
+            server.clock.advance_ms(rng.choice((0.0, 0.3, 30.0)))
+            server.step()
+        context.excess.append(server.excess)
+    server.drain()
+
+
+@then("each call had exactly one decision and nothing started after its deadline")
+def step_invariants(context: Any) -> None:
+    calls = context.server.calls.values()
+    kinds = {type(call.decision) for call in calls}
+    assert kinds == {Start, Refuse}, kinds
+    for call in calls:
+        if isinstance(call.decision, Start):
+            assert call.decided_ms < call.request.deadline_ms, call
+
+
+@then("the calls in flight never exceeded the slots at the time of a start")
+def step_slots_kept(context: Any) -> None:
+    assert not any(context.excess)
+
+
+@then("a repeated call id, an unknown end and 0 slots each raise an admission error")
+def step_errors(context: Any) -> None:
+    admission = context.server.admission
+    for wrong_use in (
+        lambda: admission.arrive(context.blocker.request),
+        lambda: admission.finish(10_000, succeeded=True),
+        lambda: admission.set_slots(0),
+    ):
+        try:
+            wrong_use()
+        except InvalidInputError:
+            continue
+        raise AssertionError("no error")
+    assert admission.load().in_flight == 1
+
+
+@given('a size classifier "{variant}" that saw {number:d} calls of {duration:d} ms')
+def step_classifier(context: Any, variant: str, number: int, duration: int) -> None:
+    context.classifier = SIZE_CLASS_VARIANTS.get(variant)()
+    context.learned_row = make_row("learned", size_class="learn")
+    for _ in range(number):
+        context.classifier.observe(make_row("lookup"), duration)
+
+
+@when("a row to be learned runs {number:d} calls of {duration:d} ms")
+def step_learn(context: Any, number: int, duration: int) -> None:
+    for _ in range(number):
+        context.classifier.observe(context.learned_row, duration)
+        # Ordinary work goes on meanwhile and keeps the typical duration.
+        for _ in range(4):
+            context.classifier.observe(make_row("lookup"), 20.0)
+
+
+@then('the learned row is "{size}"')
+def step_learned(context: Any, size: str) -> None:
+    assert context.classifier.classify(context.learned_row).value == size
--- a/features/steps/policy_admission_support.py
+++ b/features/steps/policy_admission_support.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
+from typing import TYPE_CHECKING
 
 from marjoramstep_core.clock import ManualClock
 from marjoramstep_core.states import SizeClass
@@ -15,6 +15,10 @@
 from marjoramstep_policy.admission import Start
 
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+
 def make_row(name: str, **cells: object) -> Row:
     """Build a row with short calls of 20 ms unless told otherwise."""
     base: dict[str, object] = {"size_class": "short", "expected_ms": 20}
@@ -49,7 +53,7 @@
         self.rng = Random(seed)
         self.calls: dict[int, Call] = {}
         self.running: dict[int, float] = {}
-        self.peak_in_flight = 0
+        self.excess = False
         self.finished: list[Call] = []
 
     def note(self, decisions: list[Decision]) -> None:
@@ -61,7 +65,7 @@
             call.decided_ms = self.clock.now_ms()
             if isinstance(decision, Start):
                 self.running[decision.call_id] = call.work_ms
-        self.peak_in_flight = max(self.peak_in_flight, len(self.running))
+                self.excess |= len(self.running) > self.slots
 
     def arrive(
         self,
--- /dev/null
+++ b/features/steps/policy_pressure_steps.py
@@ -0,0 +1,59 @@
+"""Steps for backpressure."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_policy.pressure import PRESSURE_VARIANTS
+from marjoramstep_policy.pressure import PressureMap
+
+
+@given('a pressure map "{variant}"')
+def step_map(context: Any, variant: str) -> None:
+    context.clock = ManualClock(start_ms=10_000)
+    context.pressure = PRESSURE_VARIANTS.get(variant)(context.clock)
+
+
+@when('service "{service}" reports admitted weight {weight:d} with age {age:d} ms')
+def step_report(context: Any, service: str, weight: int, age: int) -> None:
+    context.pressure.record(ServiceName(service), weight, float(age))
+
+
+@when("{step:d} ms pass for the pressure map")
+def step_pass(context: Any, step: int) -> None:
+    context.clock.advance_ms(step)
+
+
+@when("its reports circulate between two maps every {step:d} ms for {total:d} ms")
+def step_circulate(context: Any, step: int, total: int) -> None:
+    maps = [context.pressure, PressureMap(context.clock)]
+    for turn in range(total // step):
+        sender, receiver = maps[turn % 2], maps[1 - turn % 2]
+        for report in sender.reports():
+            receiver.record(report.service, report.admitted_weight, report.age_ms)
+        context.clock.advance_ms(step)
+
+
+@when("{number:d} services report admitted weight {weight:d}")
+def step_many(context: Any, number: int, weight: int) -> None:
+    for index in range(number):
+        context.pressure.record(ServiceName(f"s{index}"), weight, 0.0)
+
+
+@then('{roots:d} roots of weight {weight:d} to "{service}" give {probes:d} probes')
+def step_probes(
+    context: Any, roots: int, weight: int, service: str, probes: int
+) -> None:
+    services = [ServiceName(service)]
+    admitted = sum(context.pressure.admits(services, weight) for _ in range(roots))
+    assert admitted == probes, admitted
+
+
+@then("the pressure map passes on {number:d} reports")
+def step_bounded(context: Any, number: int) -> None:
+    assert len(context.pressure.reports()) == number
--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import InvalidInputError
@@ -15,10 +14,12 @@
 from .messages import AdmissionLoad
 from .messages import Decision
 from .messages import Refuse
+from .messages import RunningCall
 from .messages import Start
 from .queue import AdmissionQueue
 from .queue import QueueEntry
 from .service_times import ServiceTimes
+from .shedding import DELAY_TARGET_MS
 from .shedding import AdmittedWeight
 from .shedding import DelayMonitor
 
@@ -39,18 +40,6 @@
 OVERLOAD_REASONS = frozenset({Reason.OVERLOAD, Reason.EVICTED, Reason.QUEUE_FULL})
 
 
-@dataclass(frozen=True, slots=True)
-class RunningCall:
-    """A call that holds a slot.
-
-    :param request: the call
-    :param started_ms: time of its start in milliseconds
-    """
-
-    request: AdmissionRequest
-    started_ms: float
-
-
 class AdmissionController:
     """Starts, queues, refuses or evicts calls.
 
@@ -179,6 +168,9 @@
         if entry is None:
             return None
         due_ms = self._delays.next_ms
+        oldest = self._delayed_entry()
+        if due_ms is None and oldest is not None:
+            due_ms = oldest.arrived_ms + DELAY_TARGET_MS
         return entry.expires_ms if due_ms is None else min(entry.expires_ms, due_ms)
 
     def set_slots(self, slots: int) -> list[Decision]:
@@ -223,6 +215,8 @@
             self._queue.remove(entry)
             self._admitted.note_shed(now_ms, request.weight)
             decisions.append(self._refuse(now_ms, request, reason))
+            if reason is Reason.OVERLOAD:
+                self._shed_below(now_ms, request, decisions)
             entry = self._queue.next_expiry()
         return decisions
 
@@ -259,16 +253,12 @@
         if is_long and limit == 1:
             return in_flight == 0 and not self._queue.class_count(False)
         if is_long:
-            return in_flight < limit and self._running_long < self._long_limit(limit)
+            return in_flight < limit and self._running_long < limit // 2
         if in_flight < limit:
             return True
         # Long calls that started under a higher limit must not block short ones.
         short = in_flight - self._running_long
-        return in_flight < self._slots and short < limit - self._long_limit(limit)
-
-    @staticmethod
-    def _long_limit(limit: int) -> int:
-        return limit // 2
+        return in_flight < self._slots and short < limit - limit // 2
 
     def _row_has_slot(self, name: RowName) -> bool:
         share = self._row_limits.get(name, 100)
@@ -294,6 +284,8 @@
         victim = self._make_room(request)
         if victim is request:
             decisions.append(self._refuse(now_ms, request, Reason.QUEUE_FULL))
+            if request.row.queue_length and request.row.queue_wait_ms:
+                self._shed_below(now_ms, request, decisions)
             return
         if victim is not None:
             decisions.append(self._refuse(now_ms, victim, Reason.EVICTED))
@@ -313,6 +305,23 @@
             )
         )
 
+    def _shed_below(
+        self, now_ms: float, refused: AdmissionRequest, decisions: list[Decision]
+    ) -> None:
+        """Evict calls of lower weight than one that overload has refused.
+
+        The bound of a row can refuse a weight while lower weights wait in other rows.
+        They would otherwise run after it was refused.
+        """
+        is_long = refused.size_class is SizeClass.LONG
+        if self._class_has_slot(is_long) or not self._row_has_slot(refused.row.name):
+            return
+        entry = self._queue.least_important(is_long)
+        while entry is not None and entry.request.weight < refused.weight:
+            self._queue.remove(entry)
+            decisions.append(self._refuse(now_ms, entry.request, Reason.EVICTED))
+            entry = self._queue.least_important(is_long)
+
     def _make_room(self, request: AdmissionRequest) -> AdmissionRequest | None:
         """Evict one call if the queue is full; the request itself if it must go."""
         row = request.row
@@ -321,7 +330,9 @@
         victim = None
         if self._queue.row_count(row.name) >= row.queue_length:
             victim = self._queue.victim(row.name)
-        elif len(self._queue) >= self._queue_bound():
+        elif len(self._queue) >= max(
+            MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._slots
+        ):
             victim = self._queue.victim()
         else:
             return None
@@ -330,9 +341,6 @@
         self._queue.remove(victim)
         return victim.request
 
-    def _queue_bound(self) -> int:
-        return max(MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._slots)
-
     def _is_hopeless(
         self, now_ms: float, request: AdmissionRequest, has_slot: bool
     ) -> bool:
@@ -360,28 +368,21 @@
         work_ms = self._queue.work_ahead_ms(is_long, request.weight)
         # The next slot is expected to free up after a share of one service time.
         work_ms += self._service_times.expected_ms(now_ms, request.row)
-        if is_long and self._limit_long:
-            return work_ms / max(1, self._long_limit(limit))
-        return work_ms / max(1, limit - self._running_long)
+        for_long = is_long and self._limit_long
+        slots = limit // 2 if for_long else limit - self._running_long
+        return work_ms / max(1, slots)
 
     def _refuse(
         self, now_ms: float, request: AdmissionRequest, reason: Reason
     ) -> Refuse:
         if reason in OVERLOAD_REASONS:
             self._admitted.note_shed(now_ms, request.weight)
-        wait_ms = int(self._wait_ms(now_ms, request))
-        return Refuse(
-            request.call_id,
-            reason,
-            min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS),
-        )
+        wait_ms = max(int(self._wait_ms(now_ms, request)), MIN_RETRY_AFTER_MS)
+        return Refuse(request.call_id, reason, min(wait_ms, MAX_RETRY_AFTER_MS))
 
     def _watch_delay(self, now_ms: float, decisions: list[Decision]) -> None:
         standing = self._delays.standing
-        oldest = None
-        # With a free slot, only the limit of a row keeps its calls waiting.
-        if self._queue.class_count(False) and not self._class_has_slot(False):
-            oldest = self._queue.least_important(False)
+        oldest = self._delayed_entry()
         if oldest is None:
             self._delays.observe(now_ms, 0.0)
         elif self._delays.observe(now_ms, now_ms - oldest.arrived_ms):
@@ -389,3 +390,9 @@
             decisions.append(self._refuse(now_ms, oldest.request, Reason.OVERLOAD))
         if self._delays.standing != standing:
             self._queue.set_newest_first(self._delays.standing)
+
+    def _delayed_entry(self) -> QueueEntry | None:
+        # With a free slot, only the limit of a row keeps its calls waiting.
+        if not self._queue.class_count(False) or self._class_has_slot(False):
+            return None
+        return self._queue.least_important(False)
--- a/packages/policy/src/marjoramstep_policy/admission/messages.py
+++ b/packages/policy/src/marjoramstep_policy/admission/messages.py
@@ -33,6 +33,18 @@
     size_class: SizeClass
 
 
+@dataclass(frozen=True, slots=True)
+class RunningCall:
+    """A call that holds a slot.
+
+    :param request: the call
+    :param started_ms: time of its start in milliseconds
+    """
+
+    request: AdmissionRequest
+    started_ms: float
+
+
 @dataclass(frozen=True)
 class Start:
     """The call runs now and holds a slot until it finishes."""
