Notice sooner that a guessed limit is too low

Cause: after a 5-fold latency slowdown the guessed limit of 8 was kept for a window of 72 calls, about 900 ms. Change: the window after a jump has 24 calls at least.

--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -37,7 +37,7 @@
   Scenario Outline: A 5-fold slowdown by <kind> keeps throughput and ends quickly
     Given an admission server "adaptive" with 40 slots and seed 3
     When the saturated server runs 2 s, slows down 5-fold by <kind> for 4 s and recovers
-    Then throughput while slowed is at least 80 percent of what is possible
+    Then throughput while slowed is at least 85 percent of what is possible
     And full throughput is reached within 2000 ms after the slowdown
 
     Examples:
--- a/features/steps/policy_admission_steps.py
+++ b/features/steps/policy_admission_steps.py
@@ -53,8 +53,7 @@
     server.drain()
 
 
-def _inversions(server: FakeServer) -> list[str]:
-    found = []
+def _first_inversion(server: FakeServer) -> str | None:
     calls = list(server.calls.values())
     starts = [c for c in calls if isinstance(c.decision, Start)]
     for high in calls:
@@ -71,8 +70,8 @@
                 and high.decided_ms < low.decided_ms
             )
             if waited or passed_over:
-                found.append(f"{low} before {high}")
-    return found
+                return f"{low} before {high}"
+    return None
 
 
 @then("no lower weight started while a higher weight waited or was refused")
@@ -81,13 +80,13 @@
         c for c in context.server.calls.values() if isinstance(c.decision, Refuse)
     ]
     assert len(refused) > 100, "the overload did not take place"
-    found = _inversions(context.server)
-    assert not found, found[:3]
+    found = _first_inversion(context.server)
+    assert found is None, found
 
 
 @then("some lower weight started while a higher weight waited")
 def step_inversion(context: Any) -> None:
-    assert _inversions(context.server)
+    assert _first_inversion(context.server)
 
 
 @then("weight 900 completes at least {share:d} percent of its calls")
--- a/packages/policy/src/marjoramstep_policy/admission/limit.py
+++ b/packages/policy/src/marjoramstep_policy/admission/limit.py
@@ -14,6 +14,9 @@
 # A window closes after this many calls that started in it. With exponential service
 # times the mean of 72 has a standard error of 12%.
 MIN_WINDOW_SAMPLES = 72
+# The limit guessed after a jump of the latency may be far too low. A shorter window
+# shows this sooner, and its error is small against the size of that change.
+JUMP_WINDOW_SAMPLES = 24
 WINDOW_TURNS = 2
 # Two windows show the effect of concurrency only if it differs by at least 8%.
 MIN_CONCURRENCY_CHANGE_LOG = 0.08
@@ -58,6 +61,7 @@
         self._settling = False
         self._sums: dict[RowName, list[float]] = {}
         self._samples = 0
+        self._min_samples = MIN_WINDOW_SAMPLES
         self._previous: tuple[float, dict[RowName, list[float]]] | None = None
         # Logarithm of the latency relative to the first window, and its lowest value.
         self._level = 0.0
@@ -106,7 +110,7 @@
         entry[0] += now_ms - start_ms
         entry[1] += 1.0
         self._samples += 1
-        if self._samples < max(MIN_WINDOW_SAMPLES, WINDOW_TURNS * self.value):
+        if self._samples < max(self._min_samples, WINDOW_TURNS * self.value):
             return False
         before = self.value
         self._close_window(now_ms)
@@ -118,6 +122,7 @@
         duration_ms = max(now_ms - self._window_start_ms, 1e-6)
         concurrency = max(self._area / duration_ms, 1e-3)
         before = self.value
+        self._min_samples = MIN_WINDOW_SAMPLES
         if self._previous is not None:
             change = _latency_change_log(self._previous[1], self._sums)
             self._level += change
@@ -140,6 +145,7 @@
         elif change > LATENCY_JUMP_LOG:
             # If capacity was lost, the knee moved down by the factor of the latency.
             self._limit = current * math.exp(-change)
+            self._min_samples = JUMP_WINDOW_SAMPLES
         elif change < -LATENCY_JUMP_LOG:
             self._go_up(current)
         elif current < SATURATED_SHARE * self.value:
