Check that the limit falls soon, that it rises again, and the size class hysteresis

Change: the hysteresis scenario stays in the band between both thresholds; the limit has to fall within 1 s of lost capacity and to return with constant service times.

--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -49,6 +49,12 @@
     Given an admission server "adaptive" with 40 slots and seed 3
     When the saturated server runs 2 s, slows down 5-fold by capacity for 4 s and recovers
     Then the mean limit in the last second of the slowdown is between 5 and 14
+    And the limit fell to at most 14 within 1000 ms of the slowdown
+
+  Scenario: A limit held below the point of full throughput is tried higher
+    Given an admission server "adaptive" with 40 slots and seed 3
+    When calls of exactly 20 ms saturate it, capacity falls 5-fold for 4 s and returns
+    Then the limit is at the slots again within 2000 ms
 
   Scenario: The fixed limit stays far above that point
     Given an admission server "fixed-limit" with 40 slots and seed 3
@@ -133,7 +139,7 @@
     Given a size classifier "learned" that saw 300 calls of 20 ms
     When a row to be learned runs 60 calls of 3000 ms
     Then the learned row is "long"
-    When a row to be learned runs 24 calls of 110 ms
+    When a row to be learned runs 200 calls of 180 ms
     Then the learned row is "long"
     When a row to be learned runs 200 calls of 30 ms
     Then the learned row is "short"
--- a/features/steps/policy_admission_steps.py
+++ b/features/steps/policy_admission_steps.py
@@ -174,6 +174,7 @@
     server.run(4000, feed)
     context.slowed = len(server.finished) - context.healthy
     context.slow_limits = limits[-1000:]
+    context.limits = limits[2000:]
     server.slowdown, server.capacity = 1.0, float(server.slots)
     context.recovered = []
     for _ in range(30):
@@ -205,6 +206,36 @@
     assert low <= mean <= high, mean
 
 
+@then("the limit fell to at most {limit:d} within {within:d} ms of the slowdown")
+def step_limit_fell(context: Any, limit: int, within: int) -> None:
+    assert min(context.limits[:within]) <= limit, context.limits[:within:50]
+
+
+@when("calls of exactly 20 ms saturate it, capacity falls 5-fold for 4 s and returns")
+def step_exact(context: Any) -> None:
+    server = context.server
+    row = make_row("steady", queue_length=1000, queue_wait_ms=100_000)
+
+    def feed() -> None:
+        while server.admission.load().queue_length < 100:
+            server.arrive(row)
+
+    server.run(2000, feed)
+    server.capacity /= 5
+    server.run(4000, feed)
+    assert server.admission.load().limit <= 14, "the limit did not fall"
+    server.capacity = float(server.slots)
+    context.limits = []
+    server.run(
+        2000, lambda: (feed(), context.limits.append(server.admission.load().limit))
+    )
+
+
+@then("the limit is at the slots again within {within:d} ms")
+def step_limit_back(context: Any, within: int) -> None:
+    assert max(context.limits[:within]) == context.server.slots, context.limits[::100]
+
+
 @when("more long uploads than slots arrive and then short requests for 1 s")
 def step_uploads(context: Any) -> None:
     server = context.server
