--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import InvalidInputError
@@ -11,13 +10,16 @@
 
 from .limit import AdaptiveLimit
 from .limit import FixedLimit
+from .limit import check_slots
 from .messages import AdmissionLoad
 from .messages import Decision
 from .messages import Refuse
+from .messages import RunningCall
 from .messages import Start
 from .queue import AdmissionQueue
 from .queue import QueueEntry
 from .service_times import ServiceTimes
+from .shedding import DELAY_TARGET_MS
 from .shedding import AdmittedWeight
 from .shedding import DelayMonitor
 
@@ -38,18 +40,6 @@
 OVERLOAD_REASONS = frozenset({Reason.OVERLOAD, Reason.EVICTED, Reason.QUEUE_FULL})
 
 
-@dataclass(frozen=True, slots=True)
-class RunningCall:
-    """A call that holds a slot.
-
-    :param request: the call
-    :param started_ms: time of its start in milliseconds
-    """
-
-    request: AdmissionRequest
-    started_ms: float
-
-
 class AdmissionController:
     """Starts, queues, refuses or evicts calls.
 
@@ -98,13 +88,21 @@
             )
         now_ms = self._clock.now_ms()
         decisions = self._expire(now_ms)
-        self._row_limits[request.row.name] = request.row.concurrency_share_percent
-        # Calls that can start now go first, so that a free slot is never seen as taken.
-        self._dispatch(now_ms, decisions)
-        reason = self._hopeless(now_ms, request)
-        if reason is not None:
-            decisions.append(self._refuse(now_ms, request, reason))
-        elif self._has_slot(request):
+        row = request.row
+        share_changed = (
+            self._row_limits.get(row.name, 100) != row.concurrency_share_percent
+        )
+        if share_changed:
+            self._row_limits[row.name] = row.concurrency_share_percent
+            self._queue.unpark((row.name,))
+        if decisions or share_changed:
+            self._dispatch(now_ms, decisions)
+        # What is left in the queue cannot start, so a call that can overtakes none.
+        is_long = request.size_class is SizeClass.LONG
+        has_slot = self._class_has_slot(is_long) and self._row_has_slot(row.name)
+        if self._is_hopeless(now_ms, request, has_slot):
+            decisions.append(self._refuse(now_ms, request, Reason.DEADLINE))
+        elif has_slot:
             self._start(now_ms, request, decisions)
         else:
             self._enqueue(now_ms, request, decisions)
@@ -170,6 +168,9 @@
         if entry is None:
             return None
         due_ms = self._delays.next_ms
+        oldest = self._delayed_entry()
+        if due_ms is None and oldest is not None:
+            due_ms = oldest.arrived_ms + DELAY_TARGET_MS
         return entry.expires_ms if due_ms is None else min(entry.expires_ms, due_ms)
 
     def set_slots(self, slots: int) -> list[Decision]:
@@ -214,20 +215,16 @@
             self._queue.remove(entry)
             self._admitted.note_shed(now_ms, request.weight)
             decisions.append(self._refuse(now_ms, request, reason))
+            if reason is Reason.OVERLOAD:
+                self._shed_below(now_ms, request, decisions)
             entry = self._queue.next_expiry()
         return decisions
 
     def _dispatch(self, now_ms: float, decisions: list[Decision]) -> None:
         while len(self._queue):
-            heads = [
-                head
-                for size in SizeClass
-                if self._class_has_slot(size)
-                and (head := self._queue.first(size, self._row_has_slot)) is not None
-            ]
-            if not heads:
+            entry = self._next_entry()
+            if entry is None:
                 return
-            entry = min(heads, key=lambda head: head[0])[1]
             self._queue.remove(entry)
             request = entry.request
             if self._misses_deadline(now_ms, request, 0.0):
@@ -237,28 +234,31 @@
             self._queue_delay_ms += DELAY_SMOOTHING * (waited_ms - self._queue_delay_ms)
             self._start(now_ms, request, decisions)
 
-    def _class_has_slot(self, size: SizeClass) -> bool:
+    def _next_entry(self) -> QueueEntry | None:
+        queue = self._queue
+        short = long = None
+        if queue.class_count(False) and self._class_has_slot(False):
+            short = queue.first(False, self._row_has_slot)
+        if queue.class_count(True) and self._class_has_slot(True):
+            long = queue.first(True, self._row_has_slot)
+        if short is None or (long is not None and long[0] < short[0]):
+            return long[1] if long else None
+        return short[1]
+
+    def _class_has_slot(self, is_long: bool) -> bool:
         limit = self._limit.value
         in_flight = len(self._running)
-        if size is SizeClass.SHORT:
-            if in_flight < limit:
-                return True
-            # Long calls that started under a higher limit must not block short ones.
-            short = in_flight - self._running_long
-            return (
-                self._limit_long
-                and in_flight < self._slots
-                and short < limit - self._long_limit(limit)
-            )
         if not self._limit_long:
             return in_flight < limit
-        if limit == 1:
-            return in_flight == 0 and not self._queue.class_count(SizeClass.SHORT)
-        return in_flight < limit and self._running_long < self._long_limit(limit)
-
-    @staticmethod
-    def _long_limit(limit: int) -> int:
-        return limit // 2
+        if is_long and limit == 1:
+            return in_flight == 0 and not self._queue.class_count(False)
+        if is_long:
+            return in_flight < limit and self._running_long < limit // 2
+        if in_flight < limit:
+            return True
+        # Long calls that started under a higher limit must not block short ones.
+        short = in_flight - self._running_long
+        return in_flight < self._slots and short < limit - limit // 2
 
     def _row_has_slot(self, name: RowName) -> bool:
         share = self._row_limits.get(name, 100)
@@ -267,12 +267,6 @@
         row_limit = max(1, self._limit.value * share // 100)
         return self._running_by_row.get(name, 0) < row_limit
 
-    def _has_slot(self, request: AdmissionRequest) -> bool:
-        # Entries left in the queue after dispatch cannot start, so none is overtaken.
-        return self._class_has_slot(request.size_class) and self._row_has_slot(
-            request.row.name
-        )
-
     def _start(
         self, now_ms: float, request: AdmissionRequest, decisions: list[Decision]
     ) -> None:
@@ -290,6 +284,8 @@
         victim = self._make_room(request)
         if victim is request:
             decisions.append(self._refuse(now_ms, request, Reason.QUEUE_FULL))
+            if request.row.queue_length and request.row.queue_wait_ms:
+                self._shed_below(now_ms, request, decisions)
             return
         if victim is not None:
             decisions.append(self._refuse(now_ms, victim, Reason.EVICTED))
@@ -299,9 +295,33 @@
         )
         self._sequence += 1
         self._queue.push(
-            QueueEntry(request, self._sequence, now_ms, expires_ms, work_ms)
+            QueueEntry(
+                request,
+                self._sequence,
+                now_ms,
+                expires_ms,
+                work_ms,
+                request.size_class is SizeClass.LONG,
+            )
         )
 
+    def _shed_below(
+        self, now_ms: float, refused: AdmissionRequest, decisions: list[Decision]
+    ) -> None:
+        """Evict calls of lower weight than one that overload has refused.
+
+        The bound of a row can refuse a weight while lower weights wait in other rows.
+        They would otherwise run after it was refused.
+        """
+        is_long = refused.size_class is SizeClass.LONG
+        if self._class_has_slot(is_long) or not self._row_has_slot(refused.row.name):
+            return
+        entry = self._queue.least_important(is_long)
+        while entry is not None and entry.request.weight < refused.weight:
+            self._queue.remove(entry)
+            decisions.append(self._refuse(now_ms, entry.request, Reason.EVICTED))
+            entry = self._queue.least_important(is_long)
+
     def _make_room(self, request: AdmissionRequest) -> AdmissionRequest | None:
         """Evict one call if the queue is full; the request itself if it must go."""
         row = request.row
@@ -310,7 +330,9 @@
         victim = None
         if self._queue.row_count(row.name) >= row.queue_length:
             victim = self._queue.victim(row.name)
-        elif len(self._queue) >= self._queue_bound():
+        elif len(self._queue) >= max(
+            MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._slots
+        ):
             victim = self._queue.victim()
         else:
             return None
@@ -319,16 +341,15 @@
         self._queue.remove(victim)
         return victim.request
 
-    def _queue_bound(self) -> int:
-        return max(MIN_QUEUE_LENGTH, QUEUE_LENGTH_PER_SLOT * self._slots)
-
-    def _hopeless(self, now_ms: float, request: AdmissionRequest) -> Reason | None:
-        wait_ms = 0.0 if self._has_slot(request) else self._wait_ms(request)
+    def _is_hopeless(
+        self, now_ms: float, request: AdmissionRequest, has_slot: bool
+    ) -> bool:
+        wait_ms = 0.0 if has_slot else self._wait_ms(now_ms, request)
         if not self._misses_deadline(now_ms, request, wait_ms):
-            return None
-        if not self._misses_deadline(now_ms, request, 0.0):
+            return False
+        if not has_slot and not self._misses_deadline(now_ms, request, 0.0):
             self._admitted.note_shed(now_ms, request.weight)
-        return Reason.DEADLINE
+        return True
 
     def _misses_deadline(
         self, now_ms: float, request: AdmissionRequest, wait_ms: float
@@ -341,33 +362,28 @@
         expected_ms = self._service_times.expected_ms(now_ms, request.row)
         return now_ms + wait_ms + expected_ms > request.deadline_ms
 
-    def _wait_ms(self, request: AdmissionRequest) -> float:
+    def _wait_ms(self, now_ms: float, request: AdmissionRequest) -> float:
         limit = self._limit.value
-        size = request.size_class
-        work_ms = self._queue.work_ahead_ms(size, request.weight)
+        is_long = request.size_class is SizeClass.LONG
+        work_ms = self._queue.work_ahead_ms(is_long, request.weight)
         # The next slot is expected to free up after a share of one service time.
-        work_ms += self._service_times.expected_ms(self._clock.now_ms(), request.row)
-        if size is SizeClass.LONG and self._limit_long:
-            return work_ms / max(1, self._long_limit(limit))
-        return work_ms / max(1, limit - self._running_long)
+        work_ms += self._service_times.expected_ms(now_ms, request.row)
+        for_long = is_long and self._limit_long
+        slots = limit // 2 if for_long else limit - self._running_long
+        return work_ms / max(1, slots)
 
     def _refuse(
         self, now_ms: float, request: AdmissionRequest, reason: Reason
     ) -> Refuse:
         if reason in OVERLOAD_REASONS:
             self._admitted.note_shed(now_ms, request.weight)
-        wait_ms = int(self._wait_ms(request))
-        return Refuse(
-            request.call_id,
-            reason,
-            min(max(wait_ms, MIN_RETRY_AFTER_MS), MAX_RETRY_AFTER_MS),
-        )
+        wait_ms = max(int(self._wait_ms(now_ms, request)), MIN_RETRY_AFTER_MS)
+        return Refuse(request.call_id, reason, min(wait_ms, MAX_RETRY_AFTER_MS))
 
     def _watch_delay(self, now_ms: float, decisions: list[Decision]) -> None:
         standing = self._delays.standing
-        oldest = self._queue.least_important(SizeClass.SHORT)
-        # With a free slot, only the limit of a row keeps its calls waiting.
-        if oldest is None or self._class_has_slot(SizeClass.SHORT):
+        oldest = self._delayed_entry()
+        if oldest is None:
             self._delays.observe(now_ms, 0.0)
         elif self._delays.observe(now_ms, now_ms - oldest.arrived_ms):
             self._queue.remove(oldest)
@@ -375,14 +391,8 @@
         if self._delays.standing != standing:
             self._queue.set_newest_first(self._delays.standing)
 
-
-def check_slots(slots: int) -> None:
-    """Check a number of slots.
-
-    :param slots: number to check
-    :raises InvalidInputError: if it is below 1
-    """
-    if slots < 1:
-        raise InvalidInputError(
-            f"slots must be at least 1, found {slots}", step="set slots"
-        )
+    def _delayed_entry(self) -> QueueEntry | None:
+        # With a free slot, only the limit of a row keeps its calls waiting.
+        if not self._queue.class_count(False) or self._class_has_slot(False):
+            return None
+        return self._queue.least_important(False)
