Test fast failures, overdue calls and slowdowns of a whole service

Change: scenarios for a server that fails fast, for calls overdue under rising load, for old load and for a source that lists a member again.

--- a/features/policy/membership.feature
+++ b/features/policy/membership.feature
@@ -35,6 +35,13 @@
     And "r1" restarts and sends a full update without members
     Then the view holds members "" and reported a change
 
+  Scenario: A source that lists a member again holds back its drop
+    Given a view that knows members "m1" and "m2" from sources "r1" and "r2"
+    When "r1" restarts and sends a full update without members
+    And "r1" sends an incremental update with "m1" at sequence 0
+    And "r2" restarts and sends a full update without members
+    Then the view holds members "m1" and reported a change
+
   Scenario: An explicit end drops the member, unless it is older than the known state
     Given a view that knows members "m1" and "m2" from sources "r1" and "r2"
     When "r2" reports "m1" as gone at sequence 0
--- a/features/policy/routing.feature
+++ b/features/policy/routing.feature
@@ -17,6 +17,21 @@
       | uniform     | 1    | 10       | more than 10%  |
       | uniform     | 3    | 100000   | more than 10%  |
 
+  Scenario: A backend server that fails fast attracts no traffic
+    Given 1 "two-choices" router with 6 warm backend servers and seed 17
+    When backend server "s0" fails each call at once
+    And 20 requests are routed
+    And the next 300 requests are routed and counted
+    Then backend server "s0" got at most 2% of the counted requests
+
+  Scenario: Calls that are overdue keep traffic away when the load rises
+    Given 1 "two-choices" router with 6 warm backend servers and seed 18
+    When backend server "s0" becomes 100000 times slower
+    And 200 requests are routed
+    And the load rises 20 fold
+    And the next 1000 requests are routed and counted
+    Then backend server "s0" got at most 0% of the counted requests
+
   Scenario Outline: A slowed backend server gets one probe at a time, ever more rarely
     Given 1 "two-choices" router with 6 warm backend servers and seed <seed>
     When backend server "s0" becomes 60 times slower
@@ -58,12 +73,17 @@
       | 15   |
       | 16   |
 
-  Scenario: A slowdown of all backend servers leaves at least half of them in use
-    Given 1 "two-choices" router with 6 warm backend servers and seed 8
+  Scenario Outline: A slowdown of all backend servers leaves most of them in use
+    Given 1 "two-choices" router with 6 warm backend servers and seed <seed>
     When every backend server becomes 20 times slower
-    And 40 requests are routed
+    And the load rises <factor> fold
     And the next 300 requests are routed and counted
-    Then at least 3 backend servers got over 5% of the counted requests
+    Then at least 5 backend servers got over 10% of the counted requests
+
+    Examples:
+      | seed | factor |
+      | 8    | 1      |
+      | 19   | 10     |
 
   Scenario Outline: Calls leave an overloaded zone and do not enter one
     Given a router in zone a with 3 backend servers in each of zones a, b and c
--- a/features/steps/policy_retries_steps.py
+++ b/features/steps/policy_retries_steps.py
@@ -156,8 +156,10 @@
 @when("it delegates twice and each answer claims to return {tokens:d} tokens")
 def step_return_too_many(context: Any, tokens: int) -> None:
     assert [context.allowance.delegate() for _ in range(2)] == [4, 0]
-    for _ in range(2):
-        context.allowance.give_back(tokens)
+    context.allowance.give_back(tokens, delegated=0)
+    assert context.allowance.held == 1, context.allowance.held
+    context.allowance.give_back(tokens, delegated=4)
+    context.allowance.give_back(tokens)
 
 
 @then("the retry allowance holds {tokens:d} tokens")
--- a/features/steps/policy_routing_steps.py
+++ b/features/steps/policy_routing_steps.py
@@ -46,10 +46,12 @@
     def __init__(
         self, router: str, routers: int, members: list[RouteMember], seed: int
     ) -> None:
-        self.clock = ManualClock(1000.0)
+        self.clock = ManualClock(100_000.0)
         self.rng = Random(seed)
         self.latency_ms = {str(m.server_id): LATENCY_MS for m in members}
         self.load: dict[str, RouteLoad] = {}
+        self.failing: set[str] = set()
+        self.gap_ms = GAP_MS
         self.routers = [
             ROUTERS.get(router)(self.clock, Random(seed * 100 + n), ZoneName("a"))
             for n in range(routers)
@@ -65,7 +67,7 @@
 
     def run(self, requests: int) -> None:
         for _ in range(requests):
-            self._pass(GAP_MS)
+            self._pass(self.gap_ms)
             router = self.rng.choice(self.routers)
             picked = router.pick(SERVICE, frozenset())
             assert picked is not None
@@ -89,8 +91,9 @@
         while self.ends and self.ends[0][0] <= target_ms:
             end_ms, _, router, name, took_ms = heapq.heappop(self.ends)
             self.clock.advance_ms(max(0.0, end_ms - self.clock.now_ms()))
-            load, answered = self.load.get(name), CallResult.ANSWERED
-            router.finished(ServerId(name), took_ms, answered, load)
+            failed = name in self.failing
+            result = CallResult.FAILED if failed else CallResult.ANSWERED
+            router.finished(ServerId(name), took_ms, result, self.load.get(name))
         self.clock.advance_ms(max(0.0, target_ms - self.clock.now_ms()))
 
 
@@ -113,6 +116,17 @@
         step_slow(context, name, factor)
 
 
+@when('backend server "{name}" fails each call at once')
+def step_fail(context: Any, name: str) -> None:
+    context.world.latency_ms[name] = 0.1
+    context.world.failing.add(name)
+
+
+@when("the load rises {factor:d} fold")
+def step_load_rises(context: Any, factor: int) -> None:
+    context.world.gap_ms = GAP_MS / factor
+
+
 @when('backend server "{name}" recovers')
 def step_recovers(context: Any, name: str) -> None:
     context.world.latency_ms[name] = LATENCY_MS
