Suspend any number of backend servers that fail

Cause: at most half of the members could be suspended, so with five of six failing, traffic still went to failing ones. Change: the bound holds for slowness only, where the median stops being a reference. Before: the new scenario fails with the old code. After: it passes.

--- a/features/policy/routing.feature
+++ b/features/policy/routing.feature
@@ -24,6 +24,13 @@
     And 300 requests are routed
     Then backend server "s0" got under 10% of its fair share
 
+  Scenario: The last backend server that works gets the traffic
+    Given 1 "two-choices" router with 6 warm backend servers and seed 20
+    When backend server "s0 s1 s2 s3 s4" fails each call at once
+    And 100 requests are routed
+    And 300 requests are routed
+    Then backend server "s5" got over 550% of its fair share
+
   Scenario: Calls that are overdue keep traffic away when the load rises
     Given 1 "two-choices" router with 6 warm backend servers and seed 18
     When backend server "s0" becomes 100000 times slower than usual
--- a/features/steps/policy_routing_steps.py
+++ b/features/steps/policy_routing_steps.py
@@ -112,8 +112,9 @@
 
 @when('backend server "{name}" fails each call at once')
 def step_fail(context: Any, name: str) -> None:
-    context.world.latency_ms[name] = 0.1
-    context.world.failing.add(name)
+    for failing in name.split():
+        context.world.latency_ms[failing] = 0.1
+        context.world.failing.add(failing)
 
 
 @when("the load rises {factor:d} fold")
--- a/packages/policy/src/marjoramstep_policy/routing/router.py
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -286,16 +286,14 @@
         group.refresh(now_ms)
         if not record.is_overdue(now_ms, group.reference_ms):
             return False
-        return self._suspend(group, record, now_ms)
+        self._suspend(group, record, now_ms)
+        return True
 
     def _suspend(
         self, group: ServiceGroup, record: ServerRecord, now_ms: float
-    ) -> bool:
-        if not group.may_suspend():
-            return False
+    ) -> None:
         record.suspend(now_ms, self._jitter())
         group.refresh(now_ms)
-        return True
 
     def _finish_regular(
         self,
@@ -322,7 +320,8 @@
         measured_ms = record.latency_ms or 0.0
         if group.reference_ms and measured_ms > slow_limit_ms(group.reference_ms):
             group.refresh(now_ms)
-            if measured_ms > slow_limit_ms(group.reference_ms):
+            is_slow = measured_ms > slow_limit_ms(group.reference_ms)
+            if is_slow and group.may_suspend():
                 self._suspend(group, record, now_ms)
 
     def _finish_suspended(
--- a/packages/policy/src/marjoramstep_policy/routing/service_group.py
+++ b/packages/policy/src/marjoramstep_policy/routing/service_group.py
@@ -102,6 +102,8 @@
     def may_suspend(self) -> bool:
         """Tell whether one more member may be suspended for slowness.
 
+        Members that fail are suspended in any number: a call to them is lost anyway.
+
         :return: false when this would suspend more than half of the ready members
         """
         limit = self.ready_count * MAX_SUSPENDED_SHARE
