Draw the baseline router's pick from a cached list

Cause: the uniform router built a list of members for each call, so it was slower than the decision that it is the baseline for. Change: it uses the group's list of ready members.

--- a/packages/policy/src/marjoramstep_policy/routing/router.py
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -361,13 +361,11 @@
         group = self._groups.get(service)
         if group is None:
             return None
-        ready = [
-            record.member
-            for record in group.records.values()
-            if record.member.state is ServerState.READY
-            and record.member.server_id not in excluded
-        ]
-        return self._rng.choice(ready) if ready else None
+        now_ms = self._clock.now_ms()
+        if now_ms >= group.next_refresh_ms:
+            group.refresh(now_ms)
+        ready = _without(group.ready, excluded) if excluded else group.ready
+        return self._rng.choice(ready).member if ready else None
 
 
 def _without(
--- a/packages/policy/src/marjoramstep_policy/routing/service_group.py
+++ b/packages/policy/src/marjoramstep_policy/routing/service_group.py
@@ -34,7 +34,7 @@
         "_refreshed_ms",
         "local",
         "next_refresh_ms",
-        "ready_count",
+        "ready",
         "records",
         "reference_ms",
         "remote",
@@ -51,7 +51,7 @@
         self.remote_overloaded: list[ServerRecord] = []
         self.suspended: list[ServerRecord] = []
         self.local_is_overloaded = False
-        self.ready_count = 0
+        self.ready: list[ServerRecord] = []
         self.reference_ms = 0.0
         self.next_refresh_ms = 0.0
         self._refreshed_ms = 0.0
@@ -69,7 +69,7 @@
         ]
         overloaded_zones = _overloaded_zones(ready, now_ms)
         self.next_refresh_ms = now_ms + REFRESH_MS
-        self.ready_count = len(ready)
+        self.ready = ready
         self.local_is_overloaded = self._own_zone in overloaded_zones
         self.suspended = [record for record in ready if record.suspended]
         self.local, self.remote, self.remote_overloaded = [], [], []
@@ -106,7 +106,7 @@
 
         :return: false when this would suspend more than half of the ready members
         """
-        limit = self.ready_count * MAX_SUSPENDED_SHARE
+        limit = len(self.ready) * MAX_SUSPENDED_SHARE
         return len(self.suspended) + 1 <= limit
 
 
