--- a/features/steps/replay_fake_daemon.py
+++ b/features/steps/replay_fake_daemon.py
@@ -108,5 +108,7 @@
 
 
 if __name__ == "__main__":
+    if "--initialize" in sys.argv:
+        sys.exit(0)
     SENDS = 2 if RUN_TWICE in sys.argv else 1
     asyncio.run(serve(Path(sys.argv[-1]), SENDS))
--- a/packages/replay/src/marjoramstep_replay/launch/cluster.py
+++ b/packages/replay/src/marjoramstep_replay/launch/cluster.py
@@ -116,6 +116,7 @@
         zones = self._deployment.zones
         for index, replica in enumerate(self._replicas):
             path = self._settings.write_replica(replica, zones[index % len(zones)])
+            await self._initialize(replica.replica_id, path)
             self._start_daemon(replica.replica_id, path)
         names = [replica.replica_id for replica in self._replicas]
         await self._wait(names, REPLICA_ADDRESSES)
@@ -186,6 +187,16 @@
     def _start_daemon(self, name: str, settings_path: Path) -> None:
         self._add(name, [*self._daemon_command, str(settings_path)]).start()
 
+    async def _initialize(self, name: str, settings_path: Path) -> None:
+        command = [*self._daemon_command, "--initialize", str(settings_path)]
+        log_path = self._folder / f"{name}-initialize.log"
+        process = ManagedProcess(f"{name} --initialize", command, log_path)
+        try:
+            process.start()
+            await process.wait_until_ended()
+        finally:
+            process.kill()
+
     async def _wait(self, names: Sequence[str], addresses: Sequence[str]) -> None:
         for name in names:
             await self.processes[name].wait_until_listening(addresses)
--- a/packages/replay/src/marjoramstep_replay/launch/process.py
+++ b/packages/replay/src/marjoramstep_replay/launch/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import re
 import signal
 import subprocess
 import time
@@ -21,6 +22,7 @@
 LOG_TAIL_CHARACTERS = 2000
 LISTENING = "listening"
 ADDRESS_SUFFIX = "_address"
+ADDRESS_PATTERN = re.compile(r"[0-9a-f.:\[\]]+:[0-9]{1,5}")
 
 
 class ManagedProcess:
@@ -29,6 +31,9 @@
     :param name: name in the deployment
     :param command: command line
     :param log_path: file that takes standard error
+
+    ``addresses`` holds the addresses of these lines; the daemon names them ``caller``,
+    the stand-in ``request_address``, and both are kept with the suffix.
     """
 
     def __init__(self, name: str, command: Sequence[str], log_path: Path) -> None:
@@ -95,15 +100,30 @@
                 return
             if ended or time.monotonic() > limit_seconds:
                 state = f"ended with status {self.status}" if ended else "is too slow"
-                text = self._log_path.read_text("utf-8", "replace")
                 raise UnavailableError(
                     f"the process {state}; addresses seen: {self.addresses}; end of "
-                    f"its log: {text[-LOG_TAIL_CHARACTERS:]}",
+                    f"its log: {self._log_tail()}",
                     step="wait until listening",
                     peer=self.name,
                 )
             await asyncio.sleep(POLL_SECONDS)
 
+    async def wait_until_ended(self) -> None:
+        """Wait until the process has ended with status 0.
+
+        :raises UnavailableError: if it ends with another status or takes too long
+        """
+        limit_seconds = time.monotonic() + START_LIMIT_SECONDS
+        while self.is_running and time.monotonic() < limit_seconds:
+            await asyncio.sleep(POLL_SECONDS)
+        if self.status != 0:
+            raise UnavailableError(
+                f"the process ended with status {self.status}; end of its log: "
+                f"{self._log_tail()}",
+                step="wait until ended",
+                peer=self.name,
+            )
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process; does nothing when it has ended.
 
@@ -136,6 +156,10 @@
             self._process.kill()
             self._process.wait()
 
+    def _log_tail(self) -> str:
+        text = self._log_path.read_text("utf-8", "replace")
+        return text[-LOG_TAIL_CHARACTERS:]
+
     def _read_addresses(self) -> None:
         with self._log_path.open("rb") as log:
             log.seek(self._log_offset_bytes)
@@ -152,10 +176,8 @@
 
 
 def _addresses(document: dict[str, object]) -> dict[str, str]:
-    nested = document.get("addresses")
-    fields = {**document, **nested} if isinstance(nested, dict) else document
     return {
-        name: value
-        for name, value in fields.items()
-        if name.endswith(ADDRESS_SUFFIX) and isinstance(value, str)
+        name if name.endswith(ADDRESS_SUFFIX) else name + ADDRESS_SUFFIX: value
+        for name, value in document.items()
+        if isinstance(value, str) and ADDRESS_PATTERN.fullmatch(value)
     }
