Hold back full member lists until a restarted registry has heard all members

Cause: the registry of a restarted replica is empty until the next heartbeats. If both replicas of a service restarted, their full lists made every node drop all members of that service. Change: for one lease after its start a replica sends partial lists, and full ones to the same watchers afterwards. Conclusion: nodes keep last-known members over a restart of the registry.

--- a/packages/daemon/src/marjoramstep_daemon/control/control_process.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/control_process.py
@@ -141,7 +141,7 @@
             self._folder, address, clock, random.Random(), self._links, log
         )
         registry = MembershipRegistry(clock)
-        self._service = NodeService(self.replica, registry, log)
+        self._service = NodeService(clock, self.replica, registry, log)
         self.replica.on_table_version = self._service.on_table_version
         self.replica.on_quarantine = self._service.on_quarantine
         tokens = OperatorTokens(self._control.operators)
--- a/packages/daemon/src/marjoramstep_daemon/control/node_service.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/node_service.py
@@ -47,6 +47,7 @@
     from collections.abc import Callable
     from collections.abc import Coroutine
 
+    from marjoramstep_core.clock import Clock
     from marjoramstep_state import MembershipRegistry
     from marjoramstep_state.commands import Command
     from marjoramstep_state.membership.registry import MemberPush
@@ -57,6 +58,8 @@
     from .replicated_state import ReplicatedState
 
 REGISTRY_TICK_SECONDS = 0.2
+# One lease, in which each member that is alive sends a heartbeat.
+REGISTRY_WARM_UP_MS = 3_000.0
 # Each waiting claim holds a task; beyond this the nodes are told to ask again.
 PENDING_LIMIT = 20_000
 
@@ -64,17 +67,25 @@
 class NodeService:
     """Answers nodes: table, membership, claims, quarantine.
 
+    :param clock: clock of the process
     :param state: the replicated state
     :param registry: members and their watchers at this replica
     :param log: event log
     """
 
     def __init__(
-        self, state: ReplicatedState, registry: MembershipRegistry, log: EventLog
+        self,
+        clock: Clock,
+        state: ReplicatedState,
+        registry: MembershipRegistry,
+        log: EventLog,
     ) -> None:
+        self._clock = clock
         self._state = state
         self._registry = registry
         self._log = log
+        self._warm_ms = clock.now_ms() + REGISTRY_WARM_UP_MS
+        self._early_watches: list[tuple[NodeId, WatchService]] = []
         self._connections: dict[NodeId, PeerConnection] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._handlers: dict[
@@ -93,6 +104,8 @@
         """Expire leases until cancelled."""
         while True:
             self._push(self._registry.tick())
+            if self._early_watches and not self._is_warming_up():
+                self._send_full_lists()
             await asyncio.sleep(REGISTRY_TICK_SECONDS)
 
     def on_open(self, connection: PeerConnection) -> None:
@@ -185,7 +198,23 @@
 
     def _on_watch(self, connection: PeerConnection, message: WatchService) -> None:
         node_id = NodeId(connection.peer_hello.process_id)
-        self._send(connection, self._registry.watch(node_id, message))
+        update = self._registry.watch(node_id, message)
+        if self._is_warming_up():
+            update.full = False
+            self._early_watches.append((node_id, message))
+        self._send(connection, update)
+
+    def _is_warming_up(self) -> bool:
+        # After a restart the registry is empty until the members send a heartbeat. A
+        # full list sent before that would make nodes drop members that are alive.
+        return self._clock.now_ms() < self._warm_ms
+
+    def _send_full_lists(self) -> None:
+        watches, self._early_watches = self._early_watches, []
+        for node_id, message in watches:
+            connection = self._connections.get(node_id)
+            if connection is not None:
+                self._send(connection, self._registry.watch(node_id, message))
 
     def _on_claim(self, connection: PeerConnection, message: ClaimRequest) -> None:
         def make(log_time_ms: int) -> Command:
