Keep the limit at the knee instead of stepping past it each window

Cause: a confirmed knee was taken for one above it, so the limit cycled 8, 6, 10, 8 without rest and trials of a higher limit were never reached. Change: after a move to a knee between two measured windows the limit is held; a trial of a lower limit that loses throughput returns to the former limit.

--- a/packages/policy/src/marjoramstep_policy/admission/limit.py
+++ b/packages/policy/src/marjoramstep_policy/admission/limit.py
@@ -68,6 +68,8 @@
         self._lowest_level = 0.0
         self._up_factor = UP_FACTOR
         self._held = 0
+        # Whether the limit is at a knee that lies between two measured windows.
+        self._at_knee = False
         self._probes = 0
 
     def set_slots(self, slots: int) -> None:
@@ -140,6 +142,10 @@
 
     def _decide(self, previous: float, current: float, change: float) -> None:
         moved = math.log(current / previous)
+        if self._at_knee:
+            # The move to the knee shows nothing new; compare from the next window on.
+            self._at_knee = False
+            return
         if abs(moved) >= MIN_CONCURRENCY_CHANGE_LOG:
             self._move_to_knee(previous, current, change)
         elif change > LATENCY_JUMP_LOG:
@@ -158,7 +164,10 @@
         latency_low_to_high = change if current > previous else -change
         knee = high * math.exp(-latency_low_to_high)
         if knee >= KNEE_REACHED_SHARE * high:
-            if current >= SATURATED_SHARE * self.value:
+            if current == low:
+                self._limit = high
+                self._at_knee = True
+            elif current >= SATURATED_SHARE * self.value:
                 self._go_up(high)
             else:
                 # Demand, not the limit, bounds concurrency: nothing shows a knee.
@@ -169,6 +178,7 @@
             self._limit = min(low * DOWN_FACTOR, low - 1.0)
         else:
             self._limit = knee
+            self._at_knee = True
 
     def _go_up(self, start: float) -> None:
         self._limit = max(start * self._up_factor, start + 1.0)
