Combine the backpressure of all backend servers of a service

Cause: a report replaced the one before whatever backend server it came from, so one overloaded server made entries refuse roots that others would take. Change: reports are kept by backend server and the lowest admitted weight counts; the dispatcher records the load of each attempt with its server. Conclusion: early refusal starts only when every server that answered sheds.

--- a/features/policy/pressure.feature
+++ b/features/policy/pressure.feature
@@ -29,6 +29,14 @@
     And service "audits" reports admitted weight 100 with age 200 ms
     Then 10 roots of weight 50 to "audits" give 10 probes
 
+  Scenario: One shedding backend server does not refuse roots that another one admits
+    Given a pressure map "reported"
+    When backend server "audits-1" of "audits" reports admitted weight 100
+    And backend server "audits-2" of "audits" reports admitted weight 0
+    Then 100 roots of weight 50 to "audits" give 100 probes
+    When backend server "audits-2" of "audits" reports admitted weight 60
+    Then 100 roots of weight 50 to "audits" give 2 probes
+
   Scenario: Ages add up while reports circulate between two maps
     Given a pressure map "reported"
     When service "audits" reports admitted weight 100 with age 0 ms
--- a/features/steps/policy_pressure_steps.py
+++ b/features/steps/policy_pressure_steps.py
@@ -24,6 +24,11 @@
     context.pressure.record(ServiceName(service), weight, float(age))
 
 
+@when('backend server "{server}" of "{service}" reports admitted weight {weight:d}')
+def step_report_of(context: Any, server: str, service: str, weight: int) -> None:
+    context.pressure.record(ServiceName(service), weight, 0.0, server)
+
+
 @when("{step:d} ms pass for the pressure map")
 def step_pass(context: Any, step: int) -> None:
     context.clock.advance_ms(step)
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -28,6 +28,7 @@
     from ..calls import Reply
     from ..metrics import NodeMetrics
     from ..nodes.link_pool import LinkPool
+    from ..pressure_keeper import PressureKeeper
     from .members import MemberKeeper
 
 # The backend server is leaving or not there; another one may well take the call.
@@ -48,6 +49,7 @@
     :param budget: retries to a service as a share of first attempts
     :param links: links to other nodes
     :param own: carries out calls at the own backend server
+    :param pressure: told the load of each reply
     :param size_classes: learns durations by row
     :param metrics: counters
     """
@@ -61,6 +63,7 @@
         budget: ServiceRetryBudget,
         links: LinkPool,
         own: CallTarget,
+        pressure: PressureKeeper,
         size_classes: SizeClasses,
         metrics: NodeMetrics,
     ) -> None:
@@ -71,6 +74,7 @@
         self._budget = budget
         self._links = links
         self._own = own
+        self._pressure = pressure
         self._size_classes = size_classes
         self._metrics = metrics
 
@@ -153,6 +157,9 @@
             load = RouteLoad(
                 reply.load.in_flight, reply.load.limit, reply.load.queue_length
             )
+            call.reached_services |= self._pressure.record(
+                call.row.name, call.service, reply.load, member.server_id
+            )
         self._router.finished(
             member.server_id, latency_ms, _call_result(reply), load, call.size_class
         )
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -165,7 +165,6 @@
                 return _result(refused, key, row, may_have_run)
         call = self._make_call(request, key, row, now_ms)
         reply, maybe = await self._dispatcher.dispatch(call, allowance)
-        self._record_load(call, reply)
         return _result(reply, key, row, may_have_run or maybe)
 
     async def _run_sub_call(
@@ -183,7 +182,7 @@
         call.deadline_ms = min(call.deadline_ms, parent.call.deadline_ms)
         parent.used_services.add(request.service)
         reply, maybe = await self._dispatcher.dispatch(call, parent.allowance)
-        parent.used_services |= self._record_load(call, reply)
+        parent.used_services |= call.reached_services
         return _result(reply, key, row, maybe)
 
     def _make_call(
@@ -208,11 +207,6 @@
             size_class=self._size_classes.classify(row),
         )
 
-    def _record_load(self, call: Call, reply: Reply) -> set[str]:
-        if reply.load is None:
-            return set()
-        return set(self._pressure.record(call.row.name, call.service, reply.load))
-
 
 def _refused(reason: Reason, key: str, row_name: str) -> EntryResult:
     return EntryResult(Refused(reason), Outcome.NOT_RUN, key, row_name)
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -111,6 +111,7 @@
     :param depth: 0 for a root request
     :param retry_tokens: tokens that the callee may spend on its own sub-calls
     :param started: set just before the request is sent to the backend server
+    :param reached_services: services below that replies have named
     """
 
     service: ServiceName
@@ -128,6 +129,7 @@
     size_class: SizeClass
     fingerprint: Fingerprint | None = None
     started: bool = False
+    reached_services: set[str] = field(default_factory=set)
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -167,6 +167,7 @@
             budget,
             links,
             serving,
+            self._pressure,
             self._size_classes,
             self._metrics,
         )
--- a/packages/daemon/src/marjoramstep_daemon/pressure_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/pressure_keeper.py
@@ -31,20 +31,21 @@
         self._services_by_row: OrderedDict[RowName, set[ServiceName]] = OrderedDict()
 
     def record(
-        self, row_name: RowName, service: ServiceName, load: LoadReport
+        self, row_name: RowName, service: ServiceName, load: LoadReport, source: str
     ) -> set[ServiceName]:
         """Take the load that a reply carries.
 
         :param row_name: row of the call
         :param service: service that was called
         :param load: its load and that of the services below it
+        :param source: backend server that replied
         :return: the services that the call reached
         """
-        self._pressure.record(service, load.admitted_weight, 0.0)
+        self._pressure.record(service, load.admitted_weight, 0.0, source)
         reached = {service}
         for report in load.pressures[:SERVICES_PER_ROW_LIMIT]:
             name = ServiceName(report.service_name)
-            self._pressure.record(name, report.admitted_weight, report.age_ms)
+            self._pressure.record(name, report.admitted_weight, report.age_ms, source)
             reached.add(name)
         known = self._services_by_row.setdefault(row_name, set())
         if len(known) < SERVICES_PER_ROW_LIMIT:
--- a/packages/policy/src/marjoramstep_policy/pressure/pressure_map.py
+++ b/packages/policy/src/marjoramstep_policy/pressure/pressure_map.py
@@ -25,6 +25,8 @@
 PROBE_INTERVAL = 50
 # Reports travel on every answer, so the map holds no more than a node needs.
 MAX_SERVICES = 256
+# Backend servers of a service whose reports are combined; the oldest one is dropped.
+MAX_SOURCES = 64
 
 
 @dataclass(frozen=True)
@@ -44,7 +46,13 @@
 class Pressure(Protocol):
     """Decides at the entry whether a root is worth starting."""
 
-    def record(self, service: ServiceName, admitted_weight: int, age_ms: float) -> None:
+    def record(
+        self,
+        service: ServiceName,
+        admitted_weight: int,
+        age_ms: float,
+        source: str = "",
+    ) -> None:
         """Note a report carried on an answer."""
 
     def reports(self) -> list[PressureReport]:
@@ -55,17 +63,52 @@
 
 
 @dataclass(slots=True)
-class _Entry:
+class _Stated:
     admitted_weight: int
     stated_ms: float
-    refused: int = 0
+
+
+class _Entry:
+    """Reports on one service by the process that made them."""
+
+    __slots__ = ("_by_source", "refused")
+
+    def __init__(self) -> None:
+        self._by_source: OrderedDict[str, _Stated] = OrderedDict()
+        self.refused = 0
+
+    def record(self, source: str, admitted_weight: int, stated_ms: float) -> None:
+        known = self._by_source.get(source)
+        if known is not None and stated_ms < known.stated_ms:
+            return
+        if known is None and len(self._by_source) >= MAX_SOURCES:
+            self._by_source.popitem(last=False)
+        self._by_source[source] = _Stated(admitted_weight, stated_ms)
+        self._by_source.move_to_end(source)
+
+    def latest(self, now_ms: float) -> _Stated | None:
+        """Combine the reports that are still valid.
+
+        The lowest weight counts: while one backend server of a service still admits a
+        weight, routing can take the call there.
+        """
+        for source, stated in list(self._by_source.items()):
+            if now_ms - stated.stated_ms >= REPORT_LIFETIME_MS:
+                del self._by_source[source]
+        if not self._by_source:
+            return None
+        values = self._by_source.values()
+        return _Stated(
+            min(stated.admitted_weight for stated in values),
+            max(stated.stated_ms for stated in values),
+        )
 
 
 class PressureMap:
     """Reports of deep services, each for a bounded time.
 
-    The report with the lowest age is used for each service. Ages add up from hop to
-    hop, so a report that circulates among nodes still expires.
+    The report with the lowest age is used for each service and source. Ages add up from
+    hop to hop, so a report that circulates among nodes still expires.
 
     :param clock: source of monotonic milliseconds
     """
@@ -74,17 +117,23 @@
         self._clock = clock
         self._entries: OrderedDict[ServiceName, _Entry] = OrderedDict()
 
-    def record(self, service: ServiceName, admitted_weight: int, age_ms: float) -> None:
+    def record(
+        self,
+        service: ServiceName,
+        admitted_weight: int,
+        age_ms: float,
+        source: str = "",
+    ) -> None:
         """Note a report carried on an answer.
 
         :param service: the service that stated it
         :param admitted_weight: lowest weight admitted; 0 when nothing is shed
         :param age_ms: time since the service stated it, in milliseconds; a negative
             one counts as 0
+        :param source: backend server that the answer came from
         """
         if age_ms >= REPORT_LIFETIME_MS:
             return
-        stated_ms = self._clock.now_ms() - max(age_ms, 0.0)
         entry = self._entries.get(service)
         if entry is None:
             # A service that sheds nothing needs no entry. After it shed, the entry
@@ -93,11 +142,10 @@
                 return
             if len(self._entries) >= MAX_SERVICES:
                 self._entries.popitem(last=False)
-            self._entries[service] = _Entry(admitted_weight, stated_ms)
-        elif stated_ms >= entry.stated_ms:
-            entry.admitted_weight = max(admitted_weight, 0)
-            entry.stated_ms = stated_ms
-            self._entries.move_to_end(service)
+            entry = self._entries[service] = _Entry()
+        stated_ms = self._clock.now_ms() - max(age_ms, 0.0)
+        entry.record(source, max(admitted_weight, 0), stated_ms)
+        self._entries.move_to_end(service)
 
     def reports(self) -> list[PressureReport]:
         """Return the reports to pass on.
@@ -107,11 +155,12 @@
         now_ms = self._clock.now_ms()
         reports = []
         for service, entry in list(self._entries.items()):
-            age_ms = now_ms - entry.stated_ms
-            if age_ms >= REPORT_LIFETIME_MS:
+            stated = entry.latest(now_ms)
+            if stated is None:
                 del self._entries[service]
             else:
-                reports.append(PressureReport(service, entry.admitted_weight, age_ms))
+                age_ms = now_ms - stated.stated_ms
+                reports.append(PressureReport(service, stated.admitted_weight, age_ms))
         return reports
 
     def admits(self, services: Iterable[ServiceName], weight: int) -> bool:
@@ -121,18 +170,20 @@
         :param weight: weight of the root
         :return: true if each service admits the weight, or for a probe
         """
+        if not self._entries:
+            return True
         now_ms = self._clock.now_ms()
         strictest: _Entry | None = None
+        highest = weight
         for service in services:
             entry = self._entries.get(service)
             if entry is None:
                 continue
-            if now_ms - entry.stated_ms >= REPORT_LIFETIME_MS:
+            stated = entry.latest(now_ms)
+            if stated is None:
                 del self._entries[service]
-            elif weight < entry.admitted_weight and (
-                strictest is None or entry.admitted_weight > strictest.admitted_weight
-            ):
-                strictest = entry
+            elif stated.admitted_weight > highest:
+                strictest, highest = entry, stated.admitted_weight
         if strictest is None:
             return True
         strictest.refused += 1
@@ -151,12 +202,19 @@
     def __init__(self, clock: Clock) -> None:
         pass
 
-    def record(self, service: ServiceName, admitted_weight: int, age_ms: float) -> None:
+    def record(
+        self,
+        service: ServiceName,
+        admitted_weight: int,
+        age_ms: float,
+        source: str = "",
+    ) -> None:
         """Ignore a report.
 
         :param service: the service that stated it
         :param admitted_weight: lowest weight admitted
         :param age_ms: milliseconds since the service stated it
+        :param source: backend server that the answer came from
         """
 
     def reports(self) -> list[PressureReport]:
