--- a/features/steps/consensus_replica_core_steps.py
+++ b/features/steps/consensus_replica_core_steps.py
@@ -120,6 +120,17 @@
     ]
     effects = core.receive(leader.replica_id, append)
     assert [type(e) for e in effects] == [Persist]
+    beat = AppendRequest(
+        term=core.term,
+        leader_id=leader.replica_id,
+        previous_index=2,
+        previous_term=core.term,
+        entries=[],
+        commit_index=1,
+        round_id=99,
+    )
+    (early,) = core.receive(leader.replica_id, beat)
+    assert (early.message.round_id, early.message.match_index) == (99, 1)
     vote = VoteRequest(
         term=core.term + 1,
         candidate_id=leader.replica_id,
--- a/features/support/consensus_replica.py
+++ b/features/support/consensus_replica.py
@@ -136,7 +136,9 @@
         schedule = self._schedule
         if work.write is not None:
             self.write = work.write
-            schedule.later(self._rng.uniform(0.5, 15), self, self.synced)
+            # A slow disk of the leader lets followers answer before its own sync.
+            slow = 20.0 if self._rng.random() < 0.1 else 1.0
+            schedule.later(self._rng.uniform(0.5, 15) * slow, self, self.synced)
         for send in work.sends:
             schedule.send(self, send)
         for result in work.results:
