--- a/packages/replay/src/marjoramstep_replay/report.py
+++ b/packages/replay/src/marjoramstep_replay/report.py
@@ -5,6 +5,8 @@
 import json
 import math
 import statistics
+from collections import Counter
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
@@ -120,6 +122,20 @@
     return summary
 
 
+def ending_counts(run: RunResult) -> dict[str, dict[str, int]]:
+    """Count how requests ended.
+
+    :param run: what was observed
+    :return: counts by group and by outcome, status and reason of the last attempt
+    """
+    counts: dict[str, Counter[str]] = defaultdict(Counter)
+    for request in run.requests:
+        last = request.attempts[-1]
+        ending = f"{last.outcome.value} {last.status} {last.reason}".rstrip()
+        counts[request.group][ending] += 1
+    return {group: dict(endings.most_common()) for group, endings in counts.items()}
+
+
 def checks_to_json(checks: Sequence[CheckResult]) -> list[dict[str, Any]]:
     """Return results of checks as JSON values.
 
--- a/packages/replay/src/marjoramstep_replay/runner.py
+++ b/packages/replay/src/marjoramstep_replay/runner.py
@@ -24,6 +24,7 @@
 from .outcomes.result import percentile
 from .report import checks_to_json
 from .report import checks_to_text
+from .report import ending_counts
 from .report import figures_over_runs
 from .report import write_histograms
 from .report import write_json
@@ -267,6 +268,7 @@
             name: {
                 "disabled_decisions": list(disabled.get(name, ())),
                 "figures": figures_over_runs([run.result for run in observed]),
+                "endings": [ending_counts(run.result) for run in observed],
                 "checks": checks_to_json(verdicts[name]),
                 "send_lag_p99_ms": [
                     round(percentile(run.send_lags_ms, 99.0), 3) for run in observed
