Confirm the leader's quorum before it answers operators

Cause: a leader that was stopped and continued, or had just been elected, answered GET /v1/table and GET /v1/edits/{key} from its own state; it could show an old version or deny an accepted edit. GET /v1/replicas counted a lost replica as synced until the next entry, and a follower answered it without match indexes. One oversized proposal failed all others of its batch. A link to a silent peer waited for its buffer to drain before it reconnected. Messages for a lost identity reached the new replica at the same address.

Change: reads that only a leader may answer wait for a confirmed read (421 or 503 otherwise); Replica.is_leader needs recent contact with a quorum; QuorumContact holds what is known of it. Proposals are checked one by one. Links abort after silence and compare the id of the peer. Leases do not expire while a process that stood still catches up. An unexpected error in a write or task ends the process with its reason. The 421 answer no longer names a peer address as the operator address of the leader.

--- /dev/null
+++ b/features/steps/control_failover_steps.py
@@ -0,0 +1,301 @@
+"""Steps for the loss and the freeze of a leader."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.errors import UnavailableError
+from marjoramstep_replay.measure.claim_session import new_key
+from marjoramstep_replay.measure.control_cluster import make_edit
+from marjoramstep_replay.measure.control_cluster import set_cell
+from support.control_world import ControlWorld
+from support.control_world import Workload
+from support.control_world import accepted_in_audit
+from support.control_world import wait_until
+
+
+WAITING_REQUESTS = 8
+FROZEN_ANSWER_SECONDS = 0.3
+SHORT_MS = 2_000.0
+
+
+@given("a control cluster of {count:d} replicas")
+def step_cluster(context: Any, count: int) -> None:
+    context.world = world = ControlWorld()
+    context.stack.callback(world.close)
+    world.run(world.start(count))
+    context.cluster = world.cluster
+
+
+@given("a workload of edits and claims on the control cluster")
+def step_workload(context: Any) -> None:
+    context.workload = Workload(context.world)
+    context.world.run(context.workload.start())
+
+
+@when(
+    "the leading replica is killed and started again {times:d} times under the workload"
+)
+def step_kill(context: Any, times: int) -> None:
+    async def run() -> None:
+        cluster, workload = context.cluster, context.workload
+        await workload.wait_for_progress()
+        for _ in range(times):
+            leader = await cluster.wait_for_leader()
+            cluster.processes[leader].kill()
+            assert cluster.processes[leader].status == -signal.SIGKILL
+            assert await cluster.wait_for_leader(leader) != leader
+            await workload.wait_for_progress()
+            await cluster.restart(leader)
+            await workload.wait_for_progress()
+        await workload.stop()
+
+    context.world.run(run())
+
+
+@then("everything that the control cluster accepted is still there")
+def step_nothing_lost(context: Any) -> None:
+    context.world.run(context.workload.check())
+
+
+@then("all replicas have the same audit trail of the workload")
+def step_same_audit(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        expected = sorted((v, key) for key, v in context.workload.accepted.items())
+        for name in cluster.names:
+
+            async def is_same(name: str = name) -> bool:
+                return await accepted_in_audit(cluster, name) == expected
+
+            await wait_until(is_same, f"audit trail of {name}")
+
+    context.world.run(run())
+
+
+@when("the leading replica is frozen until another one leads")
+def step_freeze(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        context.frozen = leader = await cluster.wait_for_leader()
+        _, table = await cluster.request(leader, "GET", "/v1/table")
+        context.old_version = table["version"]
+        process = cluster.processes[leader]
+        process.send_signal(signal.SIGSTOP)
+        _, status = os.waitpid(process.process_id, os.WUNTRACED)
+        assert os.WIFSTOPPED(status), status
+        others = [name for name in cluster.names if name != leader]
+
+        async def has_successor() -> bool:
+            for name in others:
+                _, found = await cluster.request(name, "GET", "/v1/status")
+                if found["leads"]:
+                    context.successor = name
+                    context.term = found["term"]
+                    return True
+            return False
+
+        await wait_until(has_successor, "a successor leads")
+
+    context.world.run(run())
+
+
+async def _accept_and_ask(context: Any, path: str) -> None:
+    cluster = context.cluster
+    edit = make_edit("successor-edit", context.old_version, [set_cell(4_321)])
+    status, verdict = await cluster.request(
+        context.successor, "POST", "/v1/edits", edit
+    )
+    assert (status, verdict["version"]) == (200, context.old_version + 1), verdict
+    context.waiting = [
+        asyncio.create_task(cluster.request(context.frozen, "GET", path))
+        for _ in range(WAITING_REQUESTS)
+    ]
+    # The kernel accepts the connections; the frozen process cannot answer yet.
+    await asyncio.sleep(FROZEN_ANSWER_SECONDS)
+    assert not any(task.done() for task in context.waiting)
+
+
+@when(
+    "an edit is accepted by its successor and reads of the table wait at the frozen one"
+)
+def step_reads_wait(context: Any) -> None:
+    context.world.run(_accept_and_ask(context, "/v1/table"))
+
+
+@when(
+    "an edit is accepted by its successor and queries of its verdict wait at the frozen"
+    " one"
+)
+def step_queries_wait(context: Any) -> None:
+    context.world.run(_accept_and_ask(context, "/v1/edits/successor-edit"))
+
+
+@when("the frozen replica goes on")
+def step_continue(context: Any) -> None:
+    async def run() -> None:
+        context.cluster.processes[context.frozen].send_signal(signal.SIGCONT)
+        context.answers = await asyncio.gather(*context.waiting)
+
+    context.world.run(run())
+
+
+@then("the waiting reads of the table get no old version")
+def step_no_old_version(context: Any) -> None:
+    for status, document in context.answers:
+        assert status in (200, 421, 503), (status, document)
+        if status == 200:
+            assert document["version"] > context.old_version, document
+
+
+@then("no waiting query of the verdict says that there is no such edit")
+def step_no_denial(context: Any) -> None:
+    for status, document in context.answers:
+        assert status in (200, 421, 503), (status, document)
+
+
+@then("an edit sent only to the frozen replica is not accepted a second time")
+def step_no_second_winner(context: Any) -> None:
+    async def run() -> None:
+        edit = make_edit("late-edit", context.old_version, [set_cell(5_555)])
+        cluster = context.cluster
+        status, verdict = await cluster.request(
+            context.frozen, "POST", "/v1/edits", edit
+        )
+        assert status in (421, 503), (status, verdict)
+        status, verdict = await cluster.ask("POST", "/v1/edits", edit)
+        assert status == 409, verdict
+        assert verdict["winner"]["edit_key"] == "successor-edit", verdict
+
+    context.world.run(run())
+
+
+@then("within its time-out the frozen replica follows the successor")
+def step_follows(context: Any) -> None:
+    async def run() -> None:
+        async def follows() -> bool:
+            _, found = await context.cluster.request(
+                context.frozen, "GET", "/v1/status"
+            )
+            return not found["leads"] and found["leader_id"] == context.successor
+
+        await wait_until(follows, "the frozen replica follows")
+
+    context.world.run(run())
+
+
+@given("a node that serves a repeatable and a claimed row of the control cluster")
+def step_node(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        node = await cluster.start_node("node-a")
+        context.backend = await context.world.start_backend(node.addresses["announce"])
+        cells = {"service": "books", "deadline_ms": 3_000}
+        rows = [
+            {"kind": "add", "row": name, "cells": {**cells, **more}}
+            for name, more in (
+                ("read", {"repeatable": True}),
+                ("book", {"repeatable": False, "path_prefix": "/book"}),
+            )
+        ]
+        status, verdict = await cluster.edit("rows", 1, rows)
+        assert status == 200, verdict
+        context.version = verdict["version"]
+
+        async def serves() -> bool:
+            outcomes = [
+                await context.world.call(node.addresses["caller"], path)
+                for path in ("/read", "/book")
+            ]
+            return outcomes == ["done", "done"]
+
+        await wait_until(serves, "the node serves both rows")
+
+    context.world.run(run())
+
+
+@when("two of the three replicas are killed")
+def step_kill_two(context: Any) -> None:
+    for name in context.cluster.names[:2]:
+        context.cluster.processes[name].kill()
+        assert context.cluster.processes[name].status == -signal.SIGKILL
+    context.remaining = context.cluster.names[2]
+
+
+@then("edits of the control cluster are answered as unknown or not at all")
+def step_edit_unknown(context: Any) -> None:
+    async def run() -> None:
+        for number in range(3):
+            edit = make_edit(f"no-quorum-{number}", context.version, [set_cell(77)])
+            status, verdict = await context.cluster.request(
+                context.remaining, "POST", "/v1/edits", edit
+            )
+            assert status in (421, 503), (status, verdict)
+            if status == 503:
+                assert verdict["verdict"] == "unknown", verdict
+            await asyncio.sleep(0.5)
+
+    context.world.run(run())
+
+
+@then("claims of the control cluster get no verdict")
+def step_claim_unavailable(context: Any) -> None:
+    async def run() -> None:
+        session = await context.world.session("node-z")
+        try:
+            verdict = await session.claim(new_key(), "attempt-1", SHORT_MS)
+        except UnavailableError:
+            return
+        raise AssertionError(f"claim without a quorum: {verdict}")
+
+    context.world.run(run())
+
+
+@then("the verdict of an edit is not denied by the remaining replica")
+def step_verdict_not_denied(context: Any) -> None:
+    status, document = context.world.run(
+        context.cluster.request(context.remaining, "GET", "/v1/edits/no-quorum-0")
+    )
+    assert status in (421, 503), (status, document)
+
+
+@then("the node still serves the repeatable row and refuses the claimed row as not run")
+def step_node_serves(context: Any) -> None:
+    async def run() -> None:
+        address = context.cluster.processes["node-a"].addresses["caller"]
+        ran = len(context.backend.paths)
+        assert await context.world.call(address, "/book") == "not-run"
+        assert len(context.backend.paths) == ran, context.backend.paths
+        assert await context.world.call(address, "/read") == "done"
+
+    context.world.run(run())
+
+
+@when("the two killed replicas are started again")
+def step_restart_two(context: Any) -> None:
+    async def run() -> None:
+        for name in context.cluster.names[:2]:
+            await context.cluster.restart(name)
+
+    context.world.run(run())
+
+
+@then("edits and claims of the control cluster are accepted again")
+def step_accepted_again(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        _, table = await cluster.ask("GET", "/v1/table")
+        status, verdict = await cluster.edit(
+            "after-loss", table["version"], [set_cell(99)]
+        )
+        assert status == 200, verdict
+        session = context.world.sessions[0]
+        assert await session.claim(new_key(), "attempt-2") == "granted"
+
+    context.world.run(run())
--- a/packages/daemon/src/marjoramstep_daemon/control/control_process.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/control_process.py
@@ -154,6 +154,11 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
 
+    @property
+    def replica_id(self) -> ReplicaId:
+        """Id of the replica, from the data folder."""
+        return self._folder.replica_id
+
     def make_hello(self, connection_class: ConnectionClass) -> Hello:
         """Build the hello of this replica.
 
@@ -181,6 +186,8 @@
             asyncio.create_task(self.replica.run()),
             asyncio.create_task(self._service.run()),
         ]
+        for task in self._tasks:
+            task.add_done_callback(self._on_task_done)
         return bound
 
     async def close(self) -> None:
@@ -192,5 +199,12 @@
         await self._links.close()
         await self.replica.close()
 
+    def _on_task_done(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self.replica.fail(error)
+
     def _has_replica(self) -> bool:
         return hasattr(self, "replica")
--- a/packages/daemon/src/marjoramstep_daemon/control/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/link.py
@@ -6,8 +6,10 @@
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import MarjoramstepError
+from marjoramstep_core.errors import ProtocolError
 from marjoramstep_core.errors import UnavailableError
 from marjoramstep_core.states import ConnectionClass
+from marjoramstep_core.states import Role
 from marjoramstep_wire.connection import PeerConnection
 from marjoramstep_wire.connection import connect
 from marjoramstep_wire.messages import Ping
@@ -16,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from marjoramstep_core.ids import ReplicaId
     from marjoramstep_wire.messages import Hello
     from marjoramstep_wire.messages import Message
 
@@ -62,6 +65,19 @@
         """Whether messages can be sent."""
         return self._connection is not None and self._connection.is_open
 
+    def reaches(self, replica_id: ReplicaId) -> bool:
+        """Tell whether the other side may be the replica of this id.
+
+        A process that is a node as well answers with the id of the node.
+
+        :param replica_id: the replica
+        :return: false without a connection, or if a replica of another id answered
+        """
+        if self._connection is None or not self._connection.is_open:
+            return False
+        hello = self._connection.peer_hello
+        return hello.role != Role.CONTROL.value or hello.process_id == replica_id
+
     def send(self, message: Message) -> None:
         """Send a message.
 
@@ -107,7 +123,13 @@
     def _check_silence(self, connection: PeerConnection) -> None:
         silence = asyncio.get_running_loop().time() - connection.received_at_seconds
         if silence > SILENCE_LIMIT_SECONDS:
-            connection.close()
+            # A close that waits until the peer has read what is buffered would keep
+            # this link on a dead connection for as long as the cut lasts.
+            connection.close(
+                ProtocolError(
+                    f"silent for {silence:.1f} s", step="receive", peer=connection.peer
+                )
+            )
         elif connection.is_open:
             connection.send(Ping(sequence=0))
 
--- a/packages/daemon/src/marjoramstep_daemon/control/node_service.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/node_service.py
@@ -57,6 +57,9 @@
     from .replicated_state import ReplicatedState
 
 REGISTRY_TICK_SECONDS = 0.2
+STALL_SECONDS = 1.0
+# One lease: a node that is still there has sent a heartbeat by then.
+STALL_GRACE_SECONDS = 3.0
 # Each waiting claim holds a task; beyond this the nodes are told to ask again.
 PENDING_LIMIT = 20_000
 
@@ -91,8 +94,19 @@
 
     async def run(self) -> None:
         """Expire leases until cancelled."""
+        loop = asyncio.get_running_loop()
+        ticked_seconds = loop.time()
+        paused_until_seconds = 0.0
         while True:
-            self._push(self._registry.tick())
+            now_seconds = loop.time()
+            if now_seconds - ticked_seconds > STALL_SECONDS:
+                # This process stood still, and the heartbeats sent meanwhile have not
+                # been read; expiring leases now would withdraw every member.
+                paused_until_seconds = now_seconds + STALL_GRACE_SECONDS
+                self._log.write("expiry of leases paused", step="expire leases")
+            if now_seconds >= paused_until_seconds:
+                self._push(self._registry.tick())
+            ticked_seconds = now_seconds
             await asyncio.sleep(REGISTRY_TICK_SECONDS)
 
     def on_open(self, connection: PeerConnection) -> None:
@@ -201,7 +215,14 @@
         self._start_claim(connection, message.request_id, make)
 
     def _on_claim_end(self, connection: PeerConnection, message: ClaimEnd) -> None:
-        end_state = EndState(message.end_state)
+        try:
+            end_state = EndState(message.end_state)
+        except ValueError as error:
+            raise ProtocolError(
+                f"unknown end state {message.end_state[:80]!r}",
+                step="end claim",
+                peer=connection.peer,
+            ) from error
         answer = None
         if end_state is EndState.DONE:
             stored = decode_struct(StoredAnswer, message.stored_answer, connection.peer)
@@ -242,9 +263,14 @@
         async def report() -> None:
             try:
                 result = await self._state.submit(make)
-            except UnavailableError:
+            except NotLeaderError:
                 # Every replica receives the report, so the leader takes it.
                 return
+            except MarjoramstepError as error:
+                self._log.write(
+                    "crash report not recorded", step=error.step, peer=connection.peer
+                )
+                return
             if isinstance(result, CrashResult) and result.remaining_ms > 0:
                 self.on_quarantine(
                     ServiceName(message.service_name),
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/control/quorum_contact.py
@@ -0,0 +1,101 @@
+"""What a replica knows of its contact with a quorum."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from marjoramstep_wire.messages import AppendReply
+from marjoramstep_wire.messages import AppendRequest
+from marjoramstep_wire.messages import SnapshotReply
+
+
+if TYPE_CHECKING:
+    from marjoramstep_consensus.replica_core import ReplicaCore
+    from marjoramstep_consensus.replica_state import Timing
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import ReplicaId
+    from marjoramstep_wire.messages import Message
+
+
+class QuorumContact:
+    """Tells how recent the contact is; a role or a match index alone does not.
+
+    :param core: the replica's core
+    :param clock: clock of the process
+    :param timing: time-outs of the core
+    """
+
+    def __init__(self, core: ReplicaCore, clock: Clock, timing: Timing) -> None:
+        self._core = core
+        self._clock = clock
+        self._timing = timing
+        self._heard_ms: dict[ReplicaId, float] = {}
+        self._leader_contact_ms = float("-inf")
+        self._first_index = 0
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this replica leads and a quorum has answered it recently.
+
+        A process that was stopped still has the role until its next time-out.
+        """
+        contact_ms = self._core.quorum_contact_ms()
+        if contact_ms is None:
+            return False
+        return self._clock.now_ms() - contact_ms < self._timing.election_min_ms
+
+    @property
+    def leader_address(self) -> str:
+        """Peer address of the leader, empty when it is not known."""
+        if self._core.leader_id == self._core.replica_id and not self.is_leader:
+            return ""
+        return self._core.leader_address
+
+    def in_touch(self) -> set[ReplicaId]:
+        """Return the members that answered this leader within an election time-out.
+
+        :return: ids, the own one included
+        """
+        oldest_ms = self._clock.now_ms() - self._timing.election_max_ms
+        heard = {peer for peer, at_ms in self._heard_ms.items() if at_ms >= oldest_ms}
+        return {self._core.replica_id, *heard}
+
+    def confirmed_age_ms(self) -> float:
+        """Return how long ago a quorum was known to be in touch.
+
+        A follower may have heard a leader that had just lost its quorum; such a leader
+        steps down within an election time-out, which is added.
+
+        :return: milliseconds, negative if there was no contact
+        """
+        now_ms = self._clock.now_ms()
+        contact_ms = self._core.quorum_contact_ms()
+        if contact_ms is not None:
+            if self._core.applied_index < self._first_index:
+                # Entries of an earlier leader may hold a newer table.
+                return -1.0
+            return max(now_ms - contact_ms, 0.0) if contact_ms > 0 else -1.0
+        if self._leader_contact_ms < 0:
+            return -1.0
+        return now_ms - self._leader_contact_ms + self._timing.election_max_ms
+
+    def on_received(self, sender: ReplicaId, message: Message) -> None:
+        """Take note of a message after the core has taken it.
+
+        :param sender: the other replica
+        :param message: the message
+        """
+        if isinstance(message, AppendReply | SnapshotReply):
+            self._heard_ms[sender] = self._clock.now_ms()
+        elif (
+            isinstance(message, AppendRequest)
+            and message.term == self._core.term
+            and message.commit_index <= self._core.applied_index
+        ):
+            # A replica that lags behind the commit index confirms no table.
+            self._leader_contact_ms = self._clock.now_ms()
+
+    def on_role(self) -> None:
+        """Take note that role, term or leader changed."""
+        self._heard_ms.clear()
+        self._first_index = self._core.last_index
--- a/packages/daemon/src/marjoramstep_daemon/control/replica.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica.py
@@ -12,7 +12,9 @@
 from marjoramstep_consensus.replica_driver import ProposalState
 from marjoramstep_consensus.replica_driver import ReplicaDriver
 from marjoramstep_consensus.replica_driver import StateMachineCalls
+from marjoramstep_consensus.replica_state import Limits
 from marjoramstep_consensus.replica_state import Timing
+from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.errors import UnavailableError
 from marjoramstep_core.ids import LogIndex
@@ -21,10 +23,10 @@
 from marjoramstep_state import encode_command
 from marjoramstep_state.commands import AdvanceTime
 from marjoramstep_state.results import CrashResult
-from marjoramstep_wire.messages import AppendRequest
 from marjoramstep_wire.messages import JoinReply
 from marjoramstep_wire.messages import JoinRequest
 
+from .quorum_contact import QuorumContact
 from .replicated_state import NotLeaderError
 
 
@@ -54,6 +56,8 @@
 ADVANCE_TIME_SECONDS = 10.0
 JOIN_SECONDS = 1.0
 SECOND_MS = 1_000.0
+# A stored answer of 1 MiB takes 1.4 MiB in base64; a frame may have 2 MiB.
+PAYLOAD_LIMIT_BYTES = 1_792 * 1024
 
 Token = asyncio.Future["ApplyResult"]
 
@@ -62,7 +66,8 @@
     """Owns the core, the state machine and the data folder of one replica.
 
     The core is only touched on the event loop; writes to the disk run in one thread,
-    and what arrives meanwhile goes into the next write (group commit).
+    and what arrives meanwhile goes into the next write (group commit). What may be
+    answered only by a leader that still has its quorum waits for :meth:`confirm_read`.
 
     :param folder: the data folder, which has an identity
     :param address: peer address ``ip:port`` of this process
@@ -70,6 +75,7 @@
     :param rng: generator for election time-outs
     :param links: connections to the other replicas
     :param log: event log
+    :param group_commit: false only to measure one sync for each proposal
     """
 
     def __init__(
@@ -80,8 +86,11 @@
         rng: Random,
         links: ReplicaLinks,
         log: EventLog,
+        *,
+        group_commit: bool = True,
     ) -> None:
         self._folder = folder
+        self._batch_limit = PROPOSAL_LIMIT if group_commit else 1
         self._address = address
         self._clock = clock
         self._links = links
@@ -97,16 +106,21 @@
         self.machine = StateMachine()
         if stored.snapshot.last_index:
             self.machine.restore(stored.snapshot.data)
-        self.core = ReplicaCore(folder.replica_id, stored, clock, rng, self._timing)
+        limits = Limits(payload_bytes=PAYLOAD_LIMIT_BYTES)
+        self.core = ReplicaCore(
+            folder.replica_id, stored, clock, rng, self._timing, limits
+        )
+        self.contact = QuorumContact(self.core, clock, self._timing)
         self._driver = ReplicaDriver(
             self.core,
-            StateMachineCalls(self._apply, self.machine.restore, self.machine.snapshot),
+            StateMachineCalls(self._apply, self._restore, self.machine.snapshot),
             SNAPSHOT_ENTRIES,
         )
         self._pool = ThreadPoolExecutor(max_workers=1, thread_name_prefix="persist")
         self._batch: list[tuple[object, bytes]] = []
+        self._reads: dict[int, asyncio.Future[None]] = {}
+        self._writes: set[asyncio.Task[None]] = set()
         self._timer: asyncio.TimerHandle | None = None
-        self._leader_contact_ms = float("-inf")
         self._table_version = self.machine.table.version
         self._reported_role = (ReplicaRole.FOLLOWER, -1)
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -118,28 +132,16 @@
     @property
     def leader_address(self) -> str:
         """Peer address of the leader, empty when it is not known."""
-        return self.core.leader_address
+        return self.contact.leader_address
 
     @property
     def is_leader(self) -> bool:
-        """Whether this replica leads."""
-        return self.core.role is ReplicaRole.LEADER
+        """Whether this replica leads and a quorum has answered it recently."""
+        return self.contact.is_leader
 
     def confirmed_age_ms(self) -> float:
-        """Return how long ago a quorum was known to be in touch.
-
-        A follower may have heard a leader that had just lost its quorum; such a leader
-        steps down within an election time-out, which is added.
-
-        :return: milliseconds, negative if there was no contact
-        """
-        now_ms = self._clock.now_ms()
-        contact_ms = self.core.quorum_contact_ms()
-        if contact_ms is not None:
-            return max(now_ms - contact_ms, 0.0) if contact_ms > 0 else -1.0
-        if self._leader_contact_ms < 0:
-            return -1.0
-        return now_ms - self._leader_contact_ms + self._timing.election_max_ms
+        """Return the age of the last contact with a quorum, negative if unknown."""
+        return self.contact.confirmed_age_ms()
 
     def start(self) -> None:
         """Start time-outs; must be called on the event loop."""
@@ -170,10 +172,30 @@
         """
         if isinstance(message, JoinReply):
             return
-        effects = self.core.receive(sender, message)
-        if isinstance(message, AppendRequest) and message.term == self.core.term:
-            self._leader_contact_ms = self._clock.now_ms()
+        self._handle(self.core.receive(sender, message))
+        self.contact.on_received(sender, message)
+
+    async def confirm_read(self) -> None:
+        """Wait until a quorum confirms that this replica leads and is up to date.
+
+        After it, the state machine holds everything that was accepted before the call.
+
+        :raises NotLeaderError: if this replica is not the leader
+        :raises UnavailableError: if no quorum answers in time
+        """
+        if not self.is_leader:
+            raise NotLeaderError(self.leader_address)
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        read_id, effects = self.core.request_read()
+        self._reads[read_id] = future
         self._handle(effects)
+        try:
+            async with asyncio.timeout(SUBMIT_TIMEOUT_SECONDS):
+                await future
+        except TimeoutError as error:
+            raise UnavailableError("no quorum in time", step="read") from error
+        finally:
+            self._reads.pop(read_id, None)
 
     async def submit(self, make_command: Callable[[int], Command]) -> CommandResult:
         """Commit a command on a majority and return its result.
@@ -189,6 +211,12 @@
         if len(self._batch) >= PROPOSAL_LIMIT:
             raise UnavailableError("too many proposals", step="propose")
         payload = encode_command(make_command(self._log_time_ms()))
+        if len(payload) > PAYLOAD_LIMIT_BYTES:
+            # Checked here, so that it does not fail the others of its batch.
+            raise InvalidInputError(
+                f"expected at most {PAYLOAD_LIMIT_BYTES} bytes, found {len(payload)}",
+                step="propose",
+            )
         future: Token = asyncio.get_running_loop().create_future()
         if not self._batch:
             asyncio.get_running_loop().call_soon(self._propose_batch)
@@ -231,7 +259,10 @@
             self._log.write("log time not advanced", step=error.step, peer=error.peer)
 
     def _propose_batch(self) -> None:
-        batch, self._batch = self._batch, []
+        limit = self._batch_limit
+        batch, self._batch = self._batch[:limit], self._batch[limit:]
+        if self._batch:
+            asyncio.get_running_loop().call_soon(self._propose_batch)
         try:
             self._carry_out(self._driver.propose(batch))
         except CoreNotLeaderError:
@@ -247,7 +278,9 @@
 
     def _carry_out(self, work: Work) -> None:
         if work.write is not None:
-            asyncio.ensure_future(self._persist(work.write))  # noqa: RUF006
+            task = asyncio.create_task(self._persist(work.write))
+            self._writes.add(task)
+            task.add_done_callback(self._writes.discard)
         for send in work.sends:
             self._links.send(send.receiver, send.message, self.core)
         for result in work.results:
@@ -256,6 +289,10 @@
             else:
                 text = f"the proposal is {result.state.value}"
                 _fail(result.token, UnavailableError(text, step="commit"))
+        for read_id in work.ready_reads:
+            _resolve(self._reads.get(read_id), None)
+        for read_id in work.failed_reads:
+            _fail(self._reads.get(read_id), NotLeaderError(self.leader_address))
         self._report_role()
         self._schedule_tick()
 
@@ -263,19 +300,22 @@
         loop = asyncio.get_running_loop()
         try:
             await loop.run_in_executor(self._pool, self._folder.persist, write)
-        except MarjoramstepError as error:
+            self._handle(self.core.on_synced(write.index))
+        except Exception as error:
             # Nothing may be promised about a write that failed, so the process ends.
-            if not self.failure.done():
-                self.failure.set_exception(error)
-            return
-        self._handle(self.core.on_synced(write.index))
+            self.fail(error)
+
+    def fail(self, error: BaseException) -> None:
+        """End the process: its state can no longer be relied upon.
+
+        :param error: the reason, reported once
+        """
+        if not self.failure.done():
+            self.failure.set_exception(error)
 
     def _apply(self, entry: Entry) -> ApplyResult:
         result = self.machine.apply(LogIndex(entry.index), entry.payload)
-        version = self.machine.table.version
-        if version != self._table_version:
-            self._table_version = version
-            self.on_table_version(version)
+        self._report_table()
         if isinstance(result.result, CrashResult) and result.result.remaining_ms > 0:
             for quarantined in self.machine.quarantined():
                 self.on_quarantine(
@@ -285,9 +325,20 @@
                 )
         return result
 
+    def _restore(self, data: bytes) -> None:
+        self.machine.restore(data)
+        self._report_table()
+
+    def _report_table(self) -> None:
+        version = self.machine.table.version
+        if version != self._table_version:
+            self._table_version = version
+            self.on_table_version(version)
+
     def _report_role(self) -> None:
         role = (self.core.role, self.core.term)
         if role != self._reported_role:
+            self.contact.on_role()
             self._reported_role = role
             self._log.write(
                 "replica role",
@@ -306,7 +357,10 @@
 
     def _tick(self) -> None:
         self._timer = None
-        self._handle(self.core.tick())
+        try:
+            self._handle(self.core.tick())
+        except MarjoramstepError as error:
+            self.fail(error)
 
 
 def _resolve(token: object, value: object) -> None:
--- a/packages/daemon/src/marjoramstep_daemon/control/replica_links.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica_links.py
@@ -63,7 +63,11 @@
         if not address_text:
             return
         host, _, port = address_text.rpartition(":")
-        self._try_send(self._link((host, int(port))), message)
+        link = self._link((host, int(port)))
+        # A replica whose data folder was emptied has a new id at the old address; what
+        # is meant for the old id must not reach it.
+        if link.reaches(receiver):
+            self._try_send(link, message)
 
     def broadcast(self, message: Message) -> None:
         """Send a message to all replicas that are known.
--- a/packages/daemon/src/marjoramstep_daemon/daemon.py
+++ b/packages/daemon/src/marjoramstep_daemon/daemon.py
@@ -89,7 +89,10 @@
             bound.update(await self._node.start(listener, peer))
 
     def _make_hello(self, connection_class: ConnectionClass) -> Hello:
-        # The server's side of a connection answers in the name of the process.
+        # The server's side of a connection answers in the name of the process, or of
+        # its replica, whose id differs from that of the process after a lost disk.
+        if self._node is None and self._control is not None:
+            return self._control.make_hello(connection_class)
         version = 0 if self._node is None else self._node.tables.version
         role = Role.NODE if self._node is not None else Role.CONTROL
         return make_hello(
--- a/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
+++ b/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
@@ -98,8 +98,14 @@
         machine = self._replica.machine
         version = request.query.get("version")
         if version is None:
+            # Without it, an operator could read a version older than its own edit.
+            await self._replica.confirm_read()
             return web.json_response(machine.table.to_json())
-        table = machine.table_version(TableVersion(_number("version", version)))
+        number = TableVersion(_number("version", version))
+        table = machine.table_version(number)
+        if table is None and number > machine.table.version:
+            await self._replica.confirm_read()
+            table = machine.table_version(number)
         if table is None:
             return web.json_response({"error": "version not kept"}, status=404)
         return web.json_response(table.to_json())
@@ -138,11 +144,13 @@
     async def _get_edit(self, request: web.Request) -> web.Response:
         edit_key = EditKey(request.match_info["edit_key"])
         result = self._replica.machine.edit_verdict(edit_key)
+        if result is None:
+            # This replica may lag behind, so only a confirmed leader can say that there
+            # is none.
+            await self._replica.confirm_read()
+            result = self._replica.machine.edit_verdict(edit_key)
         if result is not None:
             return web.json_response(result.to_json())
-        if not self._replica.is_leader:
-            # A follower may lag behind, so only the leader can say that there is none.
-            raise NotLeaderError(self._replica.leader_address)
         return web.json_response({"error": "no such edit"}, status=404)
 
     async def _get_audit(self, request: web.Request) -> web.Response:
@@ -152,7 +160,8 @@
         return web.json_response({"entries": [entry.to_json() for entry in entries]})
 
     async def _get_replicas(self, _: web.Request) -> web.Response:
-        return web.json_response(describe_replicas(self._replica.core))
+        await self._replica.confirm_read()
+        return web.json_response(describe_replicas(self._replica))
 
     async def _post_replica(self, request: web.Request) -> web.Response:
         action = request.match_info["action"]
@@ -175,7 +184,7 @@
         else:
             raise web.HTTPNotFound
         await self._change(request, ReplicaAction(action), replica_id, before, change)
-        return web.json_response(describe_replicas(core))
+        return web.json_response(describe_replicas(self._replica))
 
     async def _change(
         self,
@@ -245,6 +254,7 @@
             {
                 "replica_id": core.replica_id,
                 "role": core.role.value,
+                "leads": self._replica.is_leader,
                 "term": core.term,
                 "leader_id": core.leader_id,
                 "commit_index": core.commit_index,
@@ -258,20 +268,26 @@
         )
 
 
-def describe_replicas(core: ReplicaCore) -> dict[str, Any]:
+def describe_replicas(replica: Replica) -> dict[str, Any]:
     """Describe the members and what their loss would mean.
 
-    :param core: the replica's core; only the leader knows the match indexes
+    :param replica: the leader; only it knows the match indexes
     :return: JSON values; ``survives_losses`` counts the synced voters that may be lost
         before the quorum is lost
     """
+    core = replica.core
+    in_touch = replica.contact.in_touch()
     membership = core.membership
     match_indexes = core.match_indexes()
     replicas = []
     synced_voters = 0
     for replica_id, address in sorted(membership.members.items()):
         match_index = match_indexes.get(replica_id)
-        is_synced = match_index is not None and match_index >= core.commit_index
+        is_synced = (
+            replica_id in in_touch
+            and match_index is not None
+            and match_index >= core.commit_index
+        )
         is_voter = replica_id in membership.voters
         synced_voters += is_synced and is_voter
         replicas.append(
@@ -304,7 +320,8 @@
     try:
         return await handler(request)
     except NotLeaderError as error:
-        body = {"error": error.message, "leader_address": error.leader_address}
+        # Replicas know only each other's peer addresses, which do not speak HTTP.
+        body = {"error": error.message, "leader_address": ""}
         return web.json_response(body, status=HTTP_MISDIRECTED)
     except UnavailableError as error:
         body = {"error": error.message, "verdict": "unknown"}
