--- a/packages/daemon/src/marjoramstep_daemon/control/node_service.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/node_service.py
@@ -58,6 +58,7 @@
     from .replicated_state import ReplicatedState
 
 REGISTRY_TICK_SECONDS = 0.2
+STALL_MS = 1_000.0
 # One lease, in which each member that is alive sends a heartbeat.
 REGISTRY_WARM_UP_MS = 3_000.0
 # Each waiting claim holds a task; beyond this the nodes are told to ask again.
@@ -102,9 +103,17 @@
 
     async def run(self) -> None:
         """Expire leases until cancelled."""
+        ticked_ms = self._clock.now_ms()
         while True:
-            self._push(self._registry.tick())
-            if self._early_watches and not self._is_warming_up():
+            now_ms = self._clock.now_ms()
+            if now_ms - ticked_ms > STALL_MS:
+                # This process stood still, and the heartbeats sent meanwhile have not
+                # been read; expiring leases now would withdraw every member.
+                self._warm_ms = now_ms + REGISTRY_WARM_UP_MS
+                self._log.write("expiry of leases paused", step="expire leases")
+            ticked_ms = now_ms
+            if not self._is_warming_up():
+                self._push(self._registry.tick())
                 self._send_full_lists()
             await asyncio.sleep(REGISTRY_TICK_SECONDS)
 
@@ -205,8 +214,9 @@
         self._send(connection, update)
 
     def _is_warming_up(self) -> bool:
-        # After a restart the registry is empty until the members send a heartbeat. A
-        # full list sent before that would make nodes drop members that are alive.
+        # After a restart or a stall the registry lacks members until they send a
+        # heartbeat. A full list sent before that would make nodes drop members that are
+        # alive.
         return self._clock.now_ms() < self._warm_ms
 
     def _send_full_lists(self) -> None:
@@ -230,7 +240,14 @@
         self._start_claim(connection, message.request_id, make)
 
     def _on_claim_end(self, connection: PeerConnection, message: ClaimEnd) -> None:
-        end_state = EndState(message.end_state)
+        try:
+            end_state = EndState(message.end_state)
+        except ValueError as error:
+            raise ProtocolError(
+                f"unknown end state {message.end_state[:80]!r}",
+                step="end claim",
+                peer=connection.peer,
+            ) from error
         answer = None
         if end_state is EndState.DONE:
             stored = decode_struct(StoredAnswer, message.stored_answer, connection.peer)
@@ -271,9 +288,14 @@
         async def report() -> None:
             try:
                 result = await self._state.submit(make)
-            except UnavailableError:
+            except NotLeaderError:
                 # Every replica receives the report, so the leader takes it.
                 return
+            except MarjoramstepError as error:
+                self._log.write(
+                    "crash report not recorded", step=error.step, peer=connection.peer
+                )
+                return
             if isinstance(result, CrashResult) and result.remaining_ms > 0:
                 self.on_quarantine(
                     ServiceName(message.service_name),
