--- /dev/null
+++ b/features/steps/daemon_entry_steps.py
@@ -0,0 +1,244 @@
+"""Steps for the entry's members, key history and uploads."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from behave import then
+from behave import when
+from daemon_harness import CLOCK
+from daemon_harness import run
+from marjoramstep_core.errors import MarjoramstepError
+from marjoramstep_core.ids import RequestKey
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.ids import ZoneName
+from marjoramstep_core.states import Outcome
+from marjoramstep_daemon.callers.key_history import KeyHistory
+from marjoramstep_daemon.callers.members import SERVICE_LIMIT
+from marjoramstep_daemon.callers.members import MemberKeeper
+from marjoramstep_daemon.log import EventLog
+from marjoramstep_daemon.upload import Upload
+from marjoramstep_policy.membership import MembershipView
+from marjoramstep_policy.routing import ROUTERS
+from marjoramstep_wire.messages import Member
+from marjoramstep_wire.messages import MemberUpdate
+
+
+PART_BYTES = 65_536
+CONTENT = random.Random(7).randbytes(16 * PART_BYTES)
+
+
+class FakeLinks:
+    """Takes the place of the link pool, which opens real connections."""
+
+    def prepare(self, _address: Any) -> None:
+        """Open nothing."""
+
+    def retain(self, _addresses: Any) -> None:
+        """Close nothing."""
+
+
+def _update(service: str) -> MemberUpdate:
+    member = Member(
+        server_id=f"{service}-1",
+        node_id=f"{service}-1",
+        service_name=service,
+        address="127.0.0.1:9",
+        zone="a",
+        slots=1,
+        connections=1,
+        state="ready",
+        incarnation=1,
+        sequence=1,
+    )
+    return MemberUpdate(service_name=service, full=True, members=[member])
+
+
+def _keeper(watched: set[str]) -> MemberKeeper:
+    router = ROUTERS.get("two-choices")(CLOCK, random.Random(1), ZoneName("a"))
+    log = EventLog(CLOCK, "test")
+    keeper = MemberKeeper(CLOCK, MembershipView(), router, FakeLinks(), log)  # type: ignore[arg-type]
+    keeper.watch = watched.add
+    keeper.unwatch = watched.discard
+    return keeper
+
+
+@when("{count:d} random service names are called and then a real service")
+def step_random_names(context: Any, count: int) -> None:
+    async def scenario() -> None:
+        watched: set[str] = set()
+        keeper = _keeper(watched)
+        now_ms = CLOCK.now_ms()
+        first = ServiceName("first-real")
+        await keeper.ensure(first, now_ms)
+        keeper.on_update("replica", _update(first))
+        for number in range(count):
+            await keeper.ensure(ServiceName(f"random-{number}"), now_ms)
+        assert count > SERVICE_LIMIT
+        second = ServiceName("second-real")
+        started_ms = CLOCK.now_ms()
+        task = asyncio.create_task(keeper.ensure(second, started_ms + 5_000.0))
+        await asyncio.sleep(0.05)
+        context.waited = not task.done()
+        keeper.on_update("replica", _update(second))
+        await task
+        context.waited_ms = CLOCK.now_ms() - started_ms
+        context.watched = watched
+
+    run(scenario())
+
+
+@then("the real service's members were waited for and found")
+def step_found(context: Any) -> None:
+    assert "second-real" in context.watched
+    assert context.waited
+    # Shorter than the wait for a service without members.
+    assert context.waited_ms < 900.0, context.waited_ms
+
+
+@then("the services with members are still watched")
+def step_watched(context: Any) -> None:
+    assert "first-real" in context.watched
+    assert len(context.watched) <= SERVICE_LIMIT
+
+
+@when("a service without members is called again after its first second")
+def step_again(context: Any) -> None:
+    async def scenario() -> None:
+        keeper = _keeper(set())
+        await keeper.ensure(ServiceName("empty"), CLOCK.now_ms() + 5_000.0)
+        started_ms = CLOCK.now_ms()
+        for _ in range(20):
+            await keeper.ensure(ServiceName("empty"), CLOCK.now_ms() + 5_000.0)
+        context.waited_ms = CLOCK.now_ms() - started_ms
+
+    run(scenario())
+
+
+@then("that call does not wait for members")
+def step_no_wait(context: Any) -> None:
+    assert context.waited_ms < 900.0, context.waited_ms
+
+
+@when("attempts under one key end as not run, unknown and not run")
+def step_attempts(context: Any) -> None:
+    history, key = KeyHistory(), RequestKey("k")
+    context.known = []
+    for outcome in (Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.NOT_RUN):
+        context.known.append(history.begin(key))
+        history.end(key, outcome)
+
+
+@then("the third attempt knows that the key may have run and the second does not")
+def step_known(context: Any) -> None:
+    assert context.known == [False, False, True], context.known
+
+
+@when("a second attempt under one key begins while the first runs")
+def step_overlap(context: Any) -> None:
+    history, key = KeyHistory(), RequestKey("k")
+    context.known = [history.begin(key), history.begin(key)]
+
+
+@then("the second attempt knows that the key may have run")
+def step_knows(context: Any) -> None:
+    assert context.known == [False, True], context.known
+
+
+class Source:
+    """Gives the content part by part and waits at one of them."""
+
+    def __init__(self, wait_at: int = -1) -> None:
+        self.offset = 0
+        self.wait_at = wait_at
+        self.go_on = asyncio.Event()
+
+    async def read(self) -> bytes:
+        """Return the next part; a cancelled read loses nothing."""
+        if self.offset // PART_BYTES == self.wait_at:
+            await self.go_on.wait()
+        part = CONTENT[self.offset : self.offset + PART_BYTES]
+        self.offset += len(part)
+        return part
+
+
+async def _read(reader: Any) -> tuple[bytes, MarjoramstepError | None]:
+    content = b""
+    try:
+        async for part in reader:
+            content += part
+    except MarjoramstepError as error:
+        return content, error
+    return content, None
+
+
+@when("an upload is read for 256 KiB, cancelled in the middle of a wait and restarted")
+def step_restart(context: Any) -> None:
+    async def scenario() -> None:
+        source = Source(wait_at=4)
+        upload = Upload(source.read, 0)
+        first = upload.open()
+        task = asyncio.create_task(_read(first))
+        await asyncio.sleep(0.05)
+        assert source.offset == 4 * PART_BYTES, source.offset
+        task.cancel()
+        # The second reader starts before the first one has noticed its end.
+        second = asyncio.create_task(_read(upload.open()))
+        await asyncio.sleep(0.05)
+        source.go_on.set()
+        context.second = await second
+        context.first = await _read(first)
+
+    run(scenario())
+
+
+@then("the second reader gets the whole upload unmixed")
+def step_whole(context: Any) -> None:
+    content, error = context.second
+    assert error is None, error
+    assert content == CONTENT, len(content)
+
+
+@then("the first reader of the upload gets an error")
+def step_first(context: Any) -> None:
+    assert context.first[1] is not None
+    assert context.first[0] == b""
+
+
+@when("an upload of 1 MiB is read to its end")
+def step_consume(context: Any) -> None:
+    async def scenario() -> None:
+        context.upload = Upload(Source().read, 0)
+        context.content, _ = await _read(context.upload.open())
+
+    run(scenario())
+
+
+@then("the upload can't be restarted and was read unmixed")
+def step_no_restart(context: Any) -> None:
+    assert not context.upload.can_restart
+    assert context.content == CONTENT
+    try:
+        context.upload.open()
+    except MarjoramstepError:
+        return
+    raise AssertionError("the upload was restarted")
+
+
+@when("an upload of 1 MiB with a limit of 512 KiB is read to its end")
+def step_limit(context: Any) -> None:
+    async def scenario() -> None:
+        upload = Upload(Source().read, 0)
+        upload.limit_bytes = 512 * 1024
+        context.limited = await _read(upload.open())
+
+    run(scenario())
+
+
+@then("the reader of the upload gets at most 512 KiB and an error")
+def step_limited(context: Any) -> None:
+    content, error = context.limited
+    assert error is not None
+    assert len(content) == 512 * 1024
--- /dev/null
+++ b/features/steps/daemon_harness.py
@@ -0,0 +1,237 @@
+"""Small fakes around single tasks of a node, on a running event loop."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING
+from typing import Any
+
+from marjoramstep_core.clock import SystemClock
+from marjoramstep_core.ids import RequestKey
+from marjoramstep_core.ids import RootId
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.ids import ZoneName
+from marjoramstep_core.states import ConnectionClass
+from marjoramstep_core.states import Role
+from marjoramstep_core.states import SizeClass
+from marjoramstep_core.table import Row
+from marjoramstep_core.table import Table
+from marjoramstep_daemon.calls import Body
+from marjoramstep_daemon.calls import Call
+from marjoramstep_daemon.control.table_keeper import TableKeeper
+from marjoramstep_daemon.log import EventLog
+from marjoramstep_daemon.nodes.conversion import EMPTY_LOAD
+from marjoramstep_daemon.nodes.link import NodeLink
+from marjoramstep_daemon.nodes.session import NodeSession
+from marjoramstep_wire.connection import PeerConnection
+from marjoramstep_wire.connection import connect
+from marjoramstep_wire.handshake import make_hello
+from marjoramstep_wire.messages import AnswerStart
+from marjoramstep_wire.messages import CallStart
+from marjoramstep_wire.messages import Hello
+from marjoramstep_wire.messages import Refusal
+from marjoramstep_wire.messages import TableReply
+
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from collections.abc import Callable
+
+KEY = b"key of the test's deployment"
+LIMIT_SECONDS = 20.0
+CLOCK = SystemClock()
+
+
+def run(coroutine: Any) -> Any:
+    """Run a test's coroutine with a limit that only a hang exceeds."""
+    return asyncio.run(asyncio.wait_for(coroutine, LIMIT_SECONDS))
+
+
+async def until(condition: Callable[[], Any], what: str = "the condition") -> Any:
+    """Wait until a condition holds."""
+    deadline_ms = CLOCK.now_ms() + LIMIT_SECONDS * 500
+    while not (found := condition()):
+        assert CLOCK.now_ms() < deadline_ms, f"waited in vain for {what}"
+        await asyncio.sleep(0.005)
+    return found
+
+
+def hello() -> Hello:
+    """Make the hello of a node."""
+    return make_hello("n", Role.NODE, ZoneName("a"), 1, ConnectionClass.INTERACTIVE)
+
+
+def make_row(**cells: Any) -> Row:
+    """Make a row for service ``s``."""
+    return Row.from_cells({"name": "r", "service": "s", "method": "*", **cells})
+
+
+def make_call(key: str = "k", deadline_ms: float = 5_000.0, **fields: Any) -> Call:
+    """Make a call that expires after a time."""
+    row = fields.pop("row", None) or make_row(repeatable=True)
+    body = fields.pop("body", None) or Body(key.encode(), length=len(key))
+    call = Call(
+        service=ServiceName("s"),
+        method="POST",
+        path="/p",
+        headers=[],
+        body=body,
+        request_key=RequestKey(key),
+        root_id=RootId(key),
+        row=row,
+        weight=1,
+        depth=0,
+        deadline_ms=CLOCK.now_ms() + deadline_ms,
+        retry_tokens=0,
+        size_class=SizeClass.SHORT,
+    )
+    for name, value in fields.items():
+        setattr(call, name, value)
+    return call
+
+
+def call_start(stream_id: int, **fields: Any) -> CallStart:
+    """Make the first message of a call."""
+    values = {
+        "service_name": "s",
+        "method": "POST",
+        "path": "/p",
+        "headers": [],
+        "body": b"",
+        "body_complete": True,
+        "request_key": f"k{stream_id}",
+        "root_id": "root",
+        "row_name": "r",
+        "weight": 1,
+        "depth": 0,
+        "budget_ms": 5_000.0,
+        "retry_tokens": 0,
+        "table_version": 1,
+        "size_class": "short",
+        "repeatable": True,
+        "body_length": 0,
+    }
+    return CallStart(stream_id=stream_id, **{**values, **fields})
+
+
+def answer_start(stream_id: int, body: bytes, **fields: Any) -> AnswerStart:
+    """Make the first message of an answer."""
+    values = {
+        "status": 200,
+        "headers": [],
+        "body_complete": True,
+        "outcome": "done",
+        "reason": "",
+        "retry_tokens": 0,
+        "load": EMPTY_LOAD,
+        "table_version": 1,
+    }
+    return AnswerStart(stream_id=stream_id, body=body, **{**values, **fields})
+
+
+def refusal(stream_id: int, reason: str) -> Refusal:
+    """Make a refusal."""
+    return Refusal(
+        stream_id=stream_id,
+        reason=reason,
+        detail="",
+        retry_tokens=0,
+        load=EMPTY_LOAD,
+        table_version=1,
+        retry_after_ms=0.0,
+    )
+
+
+def make_tables() -> TableKeeper:
+    """Make a keeper with version 1 of the table in force."""
+    tables = TableKeeper(CLOCK, EventLog(CLOCK, "test"))
+    document = json.dumps(Table().to_json()).encode()
+    tables.receive(TableReply(version=1, table_json=document, confirmed_ms=0.0))
+    return tables
+
+
+class Peer:
+    """Raw end of a connection: records messages and answers as told."""
+
+    def __init__(self) -> None:
+        self.messages: list[Any] = []
+        self.closed: list[Any] = []
+        self.connection: PeerConnection | None = None
+        self.answer: Callable[[PeerConnection, Any], None] = lambda _c, _m: None
+
+    def on_message(self, connection: PeerConnection, message: Any) -> None:
+        """Record a message and react to it."""
+        self.connection = connection
+        self.messages.append(message)
+        self.answer(connection, message)
+
+    def on_closed(self, _connection: PeerConnection, error: Any) -> None:
+        """Record the end."""
+        self.closed.append(error)
+
+    def of(self, kind: type) -> list[Any]:
+        """Return the messages of one type."""
+        return [message for message in self.messages if isinstance(message, kind)]
+
+
+@asynccontextmanager
+async def link_to(peer: Peer) -> AsyncIterator[NodeLink]:
+    """Open a real ``NodeLink`` to a raw peer."""
+    server = await asyncio.get_running_loop().create_server(
+        lambda: PeerConnection(KEY, hello(), False, peer.on_message, peer.on_closed),
+        "127.0.0.1",
+        0,
+    )
+    link = NodeLink(CLOCK, lambda: 1, lambda _: None)
+    connection = await connect(
+        server.sockets[0].getsockname(),
+        lambda: PeerConnection(KEY, hello(), True, link.on_message, link.on_closed),
+    )
+    link.attach(connection)
+    try:
+        yield link
+    finally:
+        link.close()
+        server.close()
+
+
+@asynccontextmanager
+async def session_for(
+    serving: Any, peer: Peer
+) -> AsyncIterator[tuple[PeerConnection, Callable[[], NodeSession]]]:
+    """Open a raw connection to a real ``NodeSession``."""
+    sessions: dict[PeerConnection, NodeSession] = {}
+
+    def on_open(connection: PeerConnection) -> None:
+        sessions[connection] = NodeSession(
+            connection,
+            serving,
+            make_tables(),
+            CLOCK,
+            EventLog(CLOCK, "test"),
+            lambda _: None,
+        )
+
+    server = await asyncio.get_running_loop().create_server(
+        lambda: PeerConnection(
+            KEY,
+            hello(),
+            False,
+            lambda connection, message: sessions[connection].on_message(message),
+            lambda connection, error: sessions[connection].on_closed(error),
+            on_open,
+        ),
+        "127.0.0.1",
+        0,
+    )
+    connection = await connect(
+        server.sockets[0].getsockname(),
+        lambda: PeerConnection(KEY, hello(), True, peer.on_message, peer.on_closed),
+    )
+    try:
+        yield connection, lambda: next(iter(sessions.values()))
+    finally:
+        connection.close()
+        server.close()
--- /dev/null
+++ b/features/steps/daemon_node_link_steps.py
@@ -0,0 +1,257 @@
+"""Steps for ``NodeLink`` against a raw peer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from behave import then
+from behave import when
+from daemon_harness import Peer
+from daemon_harness import answer_start
+from daemon_harness import link_to
+from daemon_harness import make_call
+from daemon_harness import refusal
+from daemon_harness import run
+from daemon_harness import until
+from marjoramstep_core.errors import MarjoramstepError
+from marjoramstep_core.errors import ProtocolError
+from marjoramstep_core.states import Reason
+from marjoramstep_daemon.calls import Answer
+from marjoramstep_daemon.calls import Failed
+from marjoramstep_daemon.calls import Refused
+from marjoramstep_wire.messages import BodyPart
+from marjoramstep_wire.messages import CallStart
+from marjoramstep_wire.messages import Cancel
+from marjoramstep_wire.messages import CancelReply
+from marjoramstep_wire.messages import Credit
+
+
+SEED = 20261204
+
+
+@when("{count:d} calls with random delays and deadlines share one link to a raw peer")
+def step_many(context: Any, count: int) -> None:
+    async def scenario() -> None:
+        rng = random.Random(SEED)
+        peer = Peer()
+
+        def answer(connection: Any, message: Any) -> None:
+            if isinstance(message, CallStart):
+                reply = answer_start(message.stream_id, message.body)
+                delay = rng.uniform(0.0, 0.7)
+                asyncio.get_running_loop().call_later(delay, connection.send, reply)
+
+        peer.answer = answer
+        async with link_to(peer) as link:
+            keys = [f"key-{number}" for number in range(count)]
+            context.replies = await asyncio.gather(
+                *(link.execute(make_call(key, rng.uniform(20, 400))) for key in keys)
+            )
+            context.keys = keys
+            await until(lambda: len(peer.of(CallStart)) == count)
+            await asyncio.sleep(0.8)
+            context.late, context.left = link.late_replies, link.in_flight
+
+    run(scenario())
+
+
+@then("no call on the link got the answer of another one")
+def step_own(context: Any) -> None:
+    answered = 0
+    for key, reply in zip(context.keys, context.replies, strict=True):
+        if isinstance(reply, Answer):
+            assert reply.body.data == key.encode(), (key, reply.body.data)
+            answered += 1
+    assert answered > len(context.keys) // 4, answered
+
+
+@then("some calls on the link met their deadline and their late answers were counted")
+def step_late(context: Any) -> None:
+    failed = [reply for reply in context.replies if isinstance(reply, Failed)]
+    assert not any(isinstance(reply, Refused) for reply in context.replies)
+    answers = [reply for reply in context.replies if isinstance(reply, Answer)]
+    assert len(failed) + len(answers) == len(context.replies)
+    assert failed
+    assert context.late == len(failed), (context.late, len(failed))
+
+
+@then("the link holds no call any more")
+def step_empty(context: Any) -> None:
+    assert context.left == 0, context.left
+
+
+async def _read(reply: Any) -> tuple[bytes, MarjoramstepError | None]:
+    content = b""
+    try:
+        async for part in reply.body.parts():
+            content += part
+    except MarjoramstepError as error:
+        return content, error
+    return content, None
+
+
+def _stream(context: Any, then_do: Any) -> None:
+    async def scenario() -> None:
+        peer = Peer()
+
+        def answer(connection: Any, message: Any) -> None:
+            if isinstance(message, CallStart):
+                stream_id = message.stream_id
+                connection.send(answer_start(stream_id, b"one", body_complete=False))
+                then_do(connection, stream_id)
+
+        peer.answer = answer
+        async with link_to(peer) as link:
+            reply = await link.execute(make_call())
+            context.read = await _read(reply)
+
+    run(scenario())
+
+
+@when("a raw peer starts a streamed answer twice with different content")
+def step_twice(context: Any) -> None:
+    def then_do(connection: Any, stream_id: int) -> None:
+        connection.send(answer_start(stream_id, b"two", body_complete=False))
+        connection.send(BodyPart(stream_id=stream_id, data=b"two", last=True))
+
+    _stream(context, then_do)
+
+
+@when("a raw peer closes the connection in the middle of a streamed answer")
+def step_middle(context: Any) -> None:
+    def then_do(connection: Any, stream_id: int) -> None:
+        connection.send(BodyPart(stream_id=stream_id, data=b"-more", last=False))
+        connection.close()
+
+    _stream(context, then_do)
+
+
+@then("the reader of the link's answer gets an error after at most the first content")
+def step_broken(context: Any) -> None:
+    content, error = context.read
+    assert error is not None, content
+    assert b"one-more".startswith(content), content
+
+
+@when("a raw peer sends answers, parts and credits for streams that never were")
+def step_unknown(context: Any) -> None:
+    async def scenario() -> None:
+        peer = Peer()
+
+        def answer(connection: Any, message: Any) -> None:
+            if isinstance(message, CallStart):
+                connection.send(answer_start(77, b"stranger"))
+                connection.send(BodyPart(stream_id=78, data=b"stranger", last=True))
+                connection.send(Credit(stream_id=79, credit_bytes=-5))
+                connection.send(CancelReply(stream_id=80, ran=False))
+                connection.send(answer_start(message.stream_id, message.body))
+
+        peer.answer = answer
+        async with link_to(peer) as link:
+            context.reply = await link.execute(make_call("mine"))
+            assert link.late_replies == 4, link.late_replies
+
+    run(scenario())
+
+
+@then("a call on that link still gets its own answer")
+def step_still(context: Any) -> None:
+    assert isinstance(context.reply, Answer), context.reply
+    assert context.reply.body.data == b"mine"
+
+
+@when("a raw peer closes the connection after it has received a call")
+def step_closes(context: Any) -> None:
+    async def scenario() -> None:
+        peer = Peer()
+        peer.answer = lambda connection, _: connection.close()
+        async with link_to(peer) as link:
+            context.reply = await link.execute(make_call())
+
+    run(scenario())
+
+
+@then("the link reports the call as failed and not as refused")
+def step_failed(context: Any) -> None:
+    assert isinstance(context.reply, Failed), context.reply
+    assert context.reply.reason is Reason.CONNECTION_LOST
+
+
+@when("a call expires while the peer acknowledges its cancellation")
+def step_acknowledged(context: Any) -> None:
+    def answer(connection: Any, message: Any) -> None:
+        if isinstance(message, Cancel):
+            connection.send(CancelReply(stream_id=message.stream_id, ran=False))
+
+    context.first = _expire(answer)
+
+
+@when("another call expires while the peer says nothing")
+def step_silent(context: Any) -> None:
+    context.second = _expire(lambda _connection, _message: None)
+
+
+def _expire(answer: Any) -> Any:
+    async def scenario() -> Any:
+        peer = Peer()
+        peer.answer = answer
+        async with link_to(peer) as link:
+            return await link.execute(make_call(deadline_ms=50.0))
+
+    return run(scenario())
+
+
+@then("the first expired call is refused and the second failed")
+def step_expired(context: Any) -> None:
+    assert isinstance(context.first, Refused), context.first
+    assert isinstance(context.second, Failed), context.second
+
+
+@when("the caller of an expired call leaves before the raw peer replies")
+def step_leaves(context: Any) -> None:
+    async def scenario() -> None:
+        peer = Peer()
+        async with link_to(peer) as link:
+            task = asyncio.create_task(link.execute(make_call(deadline_ms=30.0)))
+            await until(lambda: peer.of(Cancel), "the link's cancellation")
+            task.cancel()
+            await asyncio.wait({task})
+            assert task.cancelled()
+            context.left = link.in_flight
+
+    run(scenario())
+
+
+@when("a raw peer replies with {fault}")
+def step_invalid(context: Any, fault: str) -> None:
+    replies = {
+        "an unknown outcome": lambda i: answer_start(i, b"", outcome="maybe"),
+        "an unknown reason": lambda i: refusal(i, "bad mood"),
+        "negative tokens": lambda i: answer_start(i, b"", retry_tokens=-1),
+        "too much credit": lambda i: Credit(stream_id=i, credit_bytes=1 << 30),
+    }
+
+    async def scenario() -> None:
+        peer = Peer()
+        peer.answer = lambda connection, message: connection.send(
+            replies[fault](message.stream_id)
+        )
+        errors = []
+        async with link_to(peer) as link:
+            closed = link.on_closed
+            link._connection._on_closed = lambda connection, error: (
+                errors.append(error),
+                closed(connection, error),
+            )
+            context.reply = await link.execute(make_call())
+        context.errors = errors
+
+    run(scenario())
+
+
+@then("the link reports a protocol error and the call as failed")
+def step_protocol(context: Any) -> None:
+    assert isinstance(context.reply, Failed), context.reply
+    assert isinstance(context.errors[0], ProtocolError), context.errors
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/admission_gate.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/admission_gate.py
@@ -74,6 +74,10 @@
         except asyncio.CancelledError:
             self._waiting.pop(call_id, None)
             self._resolve(self._controller.cancel(call_id))
+            if _is_admitted(future):
+                # Admitted and cancelled before this task ran again: the slot was
+                # taken and nobody else gives it back.
+                self.leave(call_id, succeeded=False)
             raise
         return call_id, decision if isinstance(decision, Refuse) else None
 
@@ -104,3 +108,9 @@
     def _tick(self) -> None:
         self._timer = None
         self._resolve(self._controller.tick())
+
+
+def _is_admitted(future: asyncio.Future[Decision]) -> bool:
+    if not future.done() or future.cancelled():
+        return False
+    return not isinstance(future.result(), Refuse)
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/announce_listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/announce_listener.py
@@ -29,7 +29,7 @@
     async def handle(request: web.Request) -> web.Response:
         try:
             document = await request.json()
-        except ValueError:
+        except (ValueError, LookupError, RecursionError):
             return web.json_response({"error": "expected JSON"}, status=400)
         try:
             await announce(Announcement.from_json(document))
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/claimed_runs.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/claimed_runs.py
@@ -65,16 +65,36 @@
         self._log = log
         self._tasks: set[asyncio.Task[object]] = set()
 
-    async def run(self, call: Call, run: Callable[[Call], Awaitable[Reply]]) -> Reply:
+    async def run(
+        self,
+        call: Call,
+        run: Callable[[Call], Awaitable[Reply]],
+        on_end: Callable[[bool], None],
+    ) -> Reply:
         """Claim, run and record; a run once started goes on if the caller leaves.
 
+        A call that is cancelled, or meets its deadline, before its start never starts.
+
         :param call: an admitted call of a row that may not be repeated
         :param run: sends the request to the backend server
+        :param on_end: told once whether an answer came, when the run is over
         :return: the answer, a stored answer, a refusal, or a failure
         """
         task = asyncio.create_task(self._claim_and_run(call, run))
         self._keep(task)
-        return await asyncio.shield(task)
+        task.add_done_callback(lambda ended: on_end(_is_answered(ended)))
+        budget_ms = call.deadline_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(budget_ms, 0.0) / SECOND_MS):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            call.withdrawn = True
+        except asyncio.CancelledError:
+            call.withdrawn = True
+            raise
+        if call.started:
+            return Failed(Reason.DEADLINE, "the run goes on")
+        return Refused(Reason.DEADLINE, "before the start", call.retry_tokens)
 
     async def finish(self) -> None:
         """Wait for runs and records that are under way."""
@@ -107,7 +127,7 @@
         verdict = ClaimVerdict(claim.verdict)
         if verdict is not ClaimVerdict.GRANTED:
             return _not_granted(call, verdict, claim)
-        if self._clock.now_ms() >= call.deadline_ms:
+        if call.withdrawn or self._clock.now_ms() >= call.deadline_ms:
             self._abandon_later(call, attempt_id)
             return Refused(Reason.DEADLINE, "after the claim", call.retry_tokens)
         return await self._run_claimed(call, attempt_id, run)
@@ -176,6 +196,12 @@
             )
 
 
+def _is_answered(task: asyncio.Task[Reply]) -> bool:
+    if task.cancelled() or task.exception() is not None:
+        return False
+    return isinstance(task.result(), Answer)
+
+
 async def _read_whole(answer: Answer) -> None:
     """Read a streamed answer so that it can be stored before it is sent."""
     if answer.body.is_complete:
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
@@ -10,6 +10,7 @@
 import aiohttp
 import yarl
 from marjoramstep_core.errors import ConnectionFailedError
+from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.states import Reason
 
 from ..calls import INLINE_BODY_LIMIT_BYTES
@@ -54,6 +55,22 @@
         self.fault = fault
 
 
+class _Source:
+    """Body of a call; keeps the error with which it broke off."""
+
+    def __init__(self, body: Body) -> None:
+        self._body = body
+        self.error: MarjoramstepError | None = None
+
+    async def parts(self) -> AsyncIterator[bytes]:
+        try:
+            async for part in self._body.parts():
+                yield part
+        except MarjoramstepError as error:
+            self.error = error
+            raise
+
+
 class BackendServerClient:
     """Owns the connections to the backend server.
 
@@ -89,9 +106,11 @@
         :return: the answer, short bodies complete; ``Refused`` if the backend server
             shed the request
         :raises BackendServerError: if no complete head of an answer arrived
+        :raises MarjoramstepError: if the body of the call broke off
         """
         headers = strip_hop_by_hop(call.headers) + extra_headers
-        data = call.body.data if call.body.is_complete else call.body.parts()
+        source = _Source(call.body)
+        data = call.body.data if call.body.is_complete else source.parts()
         try:
             response = await self._session.request(
                 call.method,
@@ -101,9 +120,12 @@
                 allow_redirects=False,
             )
             return await self._to_reply(response)
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise self._error(error, BackendFault.NOT_CONNECTED) from error
         except (aiohttp.ClientError, OSError, asyncio.IncompleteReadError) as error:
+            if source.error is not None:
+                # The caller's side broke off, the backend server did not fail.
+                raise source.error from error
             raise self._error(error, BackendFault.BROKEN) from error
 
     async def close(self) -> None:
@@ -112,7 +134,8 @@
 
     async def _to_reply(self, response: aiohttp.ClientResponse) -> Answer | Refused:
         if response.status == HTTP_UNAVAILABLE and SHED in response.headers:
-            response.release()
+            # Closing also ends the upload of a body that has not been sent in full.
+            response.close()
             return Refused(Reason.OVERLOAD, "shed by the backend server")
         headers = strip_hop_by_hop(
             [
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/crash_watch.py
@@ -0,0 +1,108 @@
+"""Decides which requests to report when the backend server breaks connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from itertools import count
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.ids import ServerId
+from marjoramstep_policy.quarantine import CrashTracker
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import Fingerprint
+    from marjoramstep_core.ids import NodeId
+    from marjoramstep_core.ids import ServiceName
+
+    from ..calls import Call
+    from ..control.quarantine_keeper import QuarantineKeeper
+
+# All connections of a process that crashes break within a few milliseconds; suspects
+# are compared with each other once they are all known.
+COLLECT_SECONDS = 0.1
+# A success counts for as long as a quarantine lasts.
+SUCCESS_LIFETIME_MS = 600_000.0
+SUCCESS_LIMIT = 20_000
+
+
+class CrashWatch:
+    """Collects the calls whose connections broke and reports the suspects among them.
+
+    A request that crashes each backend server that runs it never succeeds. A request
+    with a recent success here is therefore not reported while another suspect of the
+    same crash has none. When all of them have succeeded before, all are reported, so a
+    request that crashes only sometimes is still found.
+
+    :param clock: clock of the node
+    :param node_id: id of the node, also of its backend server
+    :param quarantine: takes the reports
+    """
+
+    def __init__(
+        self, clock: Clock, node_id: NodeId, quarantine: QuarantineKeeper
+    ) -> None:
+        self._clock = clock
+        self._server_id = ServerId(node_id)
+        self._quarantine = quarantine
+        self._trackers: dict[ServiceName, CrashTracker] = {}
+        self._broken: dict[int, Call] = {}
+        self._ids = count(1)
+        self._successes: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._timers: dict[tuple[ServiceName, int], asyncio.TimerHandle] = {}
+
+    def succeeded(self, call: Call) -> None:
+        """Note that the backend server answered in full.
+
+        :param call: the call
+        """
+        if call.fingerprint is None:
+            return
+        self._successes[call.fingerprint] = self._clock.now_ms()
+        self._successes.move_to_end(call.fingerprint)
+        if len(self._successes) > SUCCESS_LIMIT:
+            self._successes.popitem(last=False)
+
+    def broke(self, call: Call, incarnation: int) -> None:
+        """Note that the connection of a running call broke.
+
+        :param call: the call
+        :param incarnation: incarnation of the backend server that ran it
+        """
+        if call.fingerprint is None:
+            return
+        tracker = self._trackers.get(call.service)
+        if tracker is None:
+            tracker = CrashTracker(self._server_id, call.service)
+            self._trackers = {call.service: tracker}
+        call_id = next(self._ids)
+        tracker.started(call_id, incarnation, call.fingerprint)
+        self._broken[call_id] = call
+        key = (call.service, incarnation)
+        if key not in self._timers:
+            self._timers[key] = asyncio.get_running_loop().call_later(
+                COLLECT_SECONDS, self._report, tracker, key
+            )
+
+    def _report(self, tracker: CrashTracker, key: tuple[ServiceName, int]) -> None:
+        del self._timers[key]
+        suspects = tracker.crashed(key[1])
+        calls = []
+        for call_id in suspects.call_ids:
+            tracker.finished(call_id)
+            calls.append(self._broken.pop(call_id))
+        likely = {
+            call.fingerprint for call in calls if not self._has_succeeded(call)
+        } or {call.fingerprint for call in calls}
+        for report in suspects.reports:
+            if report.fingerprint in likely:
+                self._quarantine.report(report)
+
+    def _has_succeeded(self, call: Call) -> bool:
+        assert call.fingerprint is not None
+        succeeded_ms = self._successes.get(call.fingerprint)
+        if succeeded_ms is None:
+            return False
+        return self._clock.now_ms() - succeeded_ms < SUCCESS_LIFETIME_MS
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/in_flight.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/in_flight.py
@@ -5,17 +5,31 @@
 import secrets
 from dataclasses import dataclass
 from dataclasses import field
+from enum import Enum
+from enum import unique
 from typing import TYPE_CHECKING
 
-from marjoramstep_policy.retries import RetryAllowance
-
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from marjoramstep_policy.retries import RetryAllowance
+
     from ..calls import Call
 
 CONTEXT_BYTES = 12
 
 
+@unique
+class SubCallState(Enum):
+    """What became of a sub-call of a running request."""
+
+    RUNNING = "running"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    NOT_RUN = "not-run"
+
+
 @dataclass(slots=True)
 class InFlight:
     """One running request, the parent of its sub-calls."""
@@ -24,12 +38,17 @@
     allowance: RetryAllowance
     started_ms: float
     used_services: set[str] = field(default_factory=set)
+    sub_calls: dict[str, SubCallState] = field(default_factory=dict)
 
 
 class InFlightMap:
-    """Running requests by the context id that their backend server was given."""
+    """Running requests by the context id that their backend server was given.
+
+    :param make_allowance: makes the retry tokens of a request
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, make_allowance: Callable[[int], RetryAllowance]) -> None:
+        self._make_allowance = make_allowance
         self._entries: dict[str, InFlight] = {}
 
     def __len__(self) -> int:
@@ -43,7 +62,7 @@
         :return: the context id, which cannot be guessed
         """
         context_id = secrets.token_urlsafe(CONTEXT_BYTES)
-        allowance = RetryAllowance(call.retry_tokens)
+        allowance = self._make_allowance(call.retry_tokens)
         self._entries[context_id] = InFlight(call, allowance, started_ms)
         return context_id
 
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/own_server.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/own_server.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from dataclasses import replace
+from ipaddress import ip_address
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import InvalidInputError
@@ -23,6 +25,9 @@
 Address = tuple[str, int]
 ANNOUNCE_TIMEOUT_MS = 3_000.0
 SLOT_LIMIT = 100_000
+PORT_LIMIT = 65_535
+ADDRESS_PATTERN = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
+SERVICE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 
 
 @dataclass(frozen=True)
@@ -52,17 +57,14 @@
         if not isinstance(document, dict):
             raise _fault("expected a JSON object")
         service = document.get("service")
-        if not isinstance(service, str) or not 1 <= len(service) <= 64:
-            raise _fault("service: expected a text of 1 to 64 characters")
+        if not isinstance(service, str) or not SERVICE_PATTERN.fullmatch(service):
+            raise _fault("service: expected 1 to 64 letters, digits or '_.-'")
         state = document.get("state", ServerState.READY.value)
         if state not in [known.value for known in ServerState]:
             raise _fault("state: expected starting, ready, draining or gone")
-        host, _, port = str(document.get("address", "")).rpartition(":")
-        if not host or not port.isdigit():
-            raise _fault("address: expected an IP address and port")
         return cls(
             ServiceName(service),
-            (host, int(port)),
+            _address(document.get("address")),
             _whole_number(document, "slots", 1, SLOT_LIMIT),
             _whole_number(document, "connections", 1, SLOT_LIMIT),
             ServerState(state),
@@ -70,6 +72,18 @@
         )
 
 
+def _address(value: object) -> Address:
+    if isinstance(value, str) and ADDRESS_PATTERN.fullmatch(value):
+        host, _, port = value.rpartition(":")
+        try:
+            ip_address(host)
+        except ValueError:
+            port = "0"
+        if 1 <= int(port) <= PORT_LIMIT:
+            return host, int(port)
+    raise _fault("address: expected an IPv4 address and port")
+
+
 def _whole_number(document: dict[str, object], key: str, low: int, high: int) -> int:
     value = document.get(key)
     if isinstance(value, bool) or not isinstance(value, int):
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
@@ -21,6 +21,8 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from marjoramstep_core.clock import Clock
 
     from ..calls import Call
@@ -30,6 +32,7 @@
     from ..pressure_keeper import PressureKeeper
     from .admission_gate import AdmissionGate
     from .claimed_runs import ClaimedRuns
+    from .crash_watch import CrashWatch
     from .in_flight import InFlightMap
     from .own_server import OwnServer
 
@@ -44,7 +47,8 @@
     :param gate: admission
     :param in_flight: running requests
     :param claimed_runs: runs requests that may not be repeated
-    :param quarantine: quarantined fingerprints and crash reports
+    :param quarantine: quarantined fingerprints
+    :param crashes: finds the suspects of a crash
     :param pressure: load of the services that this node calls
     :param metrics: counters and histograms
     """
@@ -57,6 +61,7 @@
         in_flight: InFlightMap,
         claimed_runs: ClaimedRuns,
         quarantine: QuarantineKeeper,
+        crashes: CrashWatch,
         pressure: PressureKeeper,
         metrics: NodeMetrics,
     ) -> None:
@@ -66,6 +71,7 @@
         self._in_flight = in_flight
         self._claimed_runs = claimed_runs
         self._quarantine = quarantine
+        self._crashes = crashes
         self._pressure = pressure
         self._metrics = metrics
         self.is_shutting_down = False
@@ -104,9 +110,15 @@
             if call.row.repeatable:
                 reply = await self._run_with_deadline(call)
             else:
-                reply = await self._claimed_runs.run(call, self.run)
+                # The run may outlive this task and keeps its slot until it ends.
+                run_id, call_id = call_id, 0
+                reply = await self._claimed_runs.run(
+                    call,
+                    self.run,
+                    lambda ok: self._gate.leave(run_id, succeeded=ok),
+                )
             succeeded = isinstance(reply, Answer)
-            if isinstance(reply, Answer) and not reply.body.is_complete:
+            if call_id and isinstance(reply, Answer) and not reply.body.is_complete:
                 # A streamed answer occupies the backend server until its last part.
                 held_id, call_id = call_id, 0
                 reply.body.on_end(lambda ok: self._gate.leave(held_id, succeeded=ok))
@@ -156,8 +168,10 @@
         :return: the answer; ``Refused`` only if the request did not run
         """
         client = self._own_server.client
-        if client is None:
+        announcement = self._own_server.announcement
+        if client is None or announcement is None or call.withdrawn:
             return Refused(Reason.NO_SERVER, "", call.retry_tokens)
+        incarnation = announcement.incarnation
         started_ms = self._clock.now_ms()
         context_id = self._in_flight.add(call, started_ms)
         reply: Reply
@@ -165,7 +179,7 @@
             call.started = True
             reply = await client.send(call, self._headers(call, context_id))
         except BackendServerError as error:
-            reply = self._on_fault(call, error)
+            reply = self._on_fault(call, error, incarnation)
         except MarjoramstepError as error:
             reply = Failed(Reason.CANCELLED, error.message)
         except BaseException:
@@ -174,14 +188,29 @@
         reply.load = self._load_report(self._in_flight.used_services(context_id))
         if isinstance(reply, Answer) and not reply.body.is_complete:
             # The backend server may still make sub-calls, which use these tokens.
+            assert reply.body.rest is not None
+            reply.body.rest = self._watch_rest(reply.body.rest, call, incarnation)
             reply.body.on_end(lambda _: self._in_flight.discard(context_id))
         else:
             reply.retry_tokens = self._in_flight.remove(context_id)
         if isinstance(reply, Answer):
             duration_ms = self._clock.now_ms() - started_ms
             self._metrics.observe_run(call, duration_ms)
+            if reply.body.is_complete:
+                self._crashes.succeeded(call)
         return reply
 
+    async def _watch_rest(
+        self, rest: AsyncIterator[bytes], call: Call, incarnation: int
+    ) -> AsyncIterator[bytes]:
+        try:
+            async for part in rest:
+                yield part
+        except BackendServerError:
+            self._crashes.broke(call, incarnation)
+            raise
+        self._crashes.succeeded(call)
+
     def _headers(self, call: Call, context_id: str) -> list[tuple[str, str]]:
         budget_ms = max(int(call.deadline_ms - self._clock.now_ms()), 1)
         return [
@@ -190,12 +219,14 @@
             (http_headers.DEADLINE_MS, str(budget_ms)),
         ]
 
-    def _on_fault(self, call: Call, error: BackendServerError) -> Reply:
+    def _on_fault(
+        self, call: Call, error: BackendServerError, incarnation: int
+    ) -> Reply:
         if error.fault is BackendFault.NOT_CONNECTED:
             call.started = False
             self._own_server.withdraw()
             return Refused(Reason.NO_SERVER, error.message)
-        self._quarantine.on_crash(call)
+        self._crashes.broke(call, incarnation)
         return Failed(Reason.SERVER_CRASHED, error.message, crash_suspect=True)
 
     def _load_report(self, used_services: set[str]) -> LoadReport:
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -101,6 +101,7 @@
                 return reply, may_have_run
             if not self._may_retry(call, reply, allowance):
                 return reply, may_have_run
+            call.body.restart()
             full_retries += is_full
             may_have_run = may_have_run or isinstance(reply, Failed)
             excluded |= {member.server_id}
@@ -114,8 +115,10 @@
             )
         else:
             is_useful = reply.reason in LEAVING_REASONS | FULL_REASONS
-        if not is_useful or not call.body.is_complete:
-            # The parts of a streamed body are gone once they were sent.
+        if not is_useful or not call.body.can_restart:
+            return False
+        if isinstance(reply, Failed) and not call.body.is_complete:
+            # The former run may still be reading the parts of a streamed body.
             return False
         if self._clock.now_ms() >= call.deadline_ms or allowance.held == 0:
             return False
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -10,11 +10,14 @@
 from marjoramstep_core.ids import RootId
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
+from marjoramstep_policy.quarantine import fingerprint_request
 
+from ..backend_servers.in_flight import SubCallState
 from ..calls import Answer
 from ..calls import Call
 from ..calls import Failed
 from ..calls import Refused
+from .key_history import KeyHistory
 
 
 if TYPE_CHECKING:
@@ -36,6 +39,13 @@
     from .entry_request import EntryRequest
 
 KEY_BYTES = 12
+# Sub-calls of one request that are remembered, to recognize resends.
+SUB_CALL_LIMIT = 10_000
+SERVER_ERROR_STATUS = 500
+# The claim shows that nothing with this content ran under the key.
+REASONS_PROVED_BY_CLAIM = frozenset(
+    {Reason.KEY_CLOSED, Reason.KEY_REUSED, Reason.BAD_KEY}
+)
 # A key is remembered for longer than any deadline of a row (1 h at most).
 KEY_LIFETIME_MS = 3_900_000.0
 
@@ -91,6 +101,7 @@
         self._dispatcher = dispatcher
         self._make_allowance = make_allowance
         self._metrics = metrics
+        self._history = KeyHistory()
         self.is_shutting_down = False
         self.in_progress = 0
 
@@ -136,6 +147,8 @@
     ) -> Reason | None:
         if self.is_shutting_down and parent is None:
             return Reason.SHUTTING_DOWN
+        if request.body.upload is not None:
+            request.body.upload.limit_bytes = row.body_limit_bytes
         if request.body.length > row.body_limit_bytes:
             return Reason.BODY_TOO_LARGE
         if not row.repeatable and request.request_key is None:
@@ -150,23 +163,39 @@
     async def _run_root(
         self, request: EntryRequest, key: RequestKey, row: Row, now_ms: float
     ) -> EntryResult:
-        may_have_run = False
         if request.request_key is None:
             allowance = self._make_allowance(row.retries)
-        else:
-            verdict = self._ledger.arrive(key, row.retries, KEY_LIFETIME_MS)
-            allowance = verdict.allowance
-            # An earlier attempt under this key may have run; for rows that may not be
-            # repeated the claim knows better.
-            may_have_run = verdict.is_resend and row.repeatable
+            return await self._dispatch_root(request, key, row, allowance, now_ms)
+        verdict = self._ledger.arrive(key, row.retries, KEY_LIFETIME_MS)
+        earlier = self._history.begin(key)
+        outcome = Outcome.UNKNOWN
+        try:
             if not verdict.allowed and row.repeatable:
                 self._metrics.count_event("resend refused")
-                refused = Refused(Reason.RETRIES_EXHAUSTED)
-                return _result(refused, key, row, may_have_run)
+                result = _refused(Reason.RETRIES_EXHAUSTED, key, row.name)
+            else:
+                result = await self._dispatch_root(
+                    request, key, row, verdict.allowance, now_ms
+                )
+            outcome = result.outcome
+        finally:
+            self._history.end(key, outcome)
+        if earlier and result.reply.reason not in REASONS_PROVED_BY_CLAIM:
+            _weaken(result)
+        return result
+
+    async def _dispatch_root(
+        self,
+        request: EntryRequest,
+        key: RequestKey,
+        row: Row,
+        allowance: RetryAllowance,
+        now_ms: float,
+    ) -> EntryResult:
         call = self._make_call(request, key, row, now_ms)
-        reply, maybe = await self._dispatcher.dispatch(call, allowance)
+        reply, may_have_run = await self._dispatcher.dispatch(call, allowance)
         self._record_load(call, reply)
-        return _result(reply, key, row, may_have_run or maybe)
+        return _result(reply, key, row, may_have_run)
 
     async def _run_sub_call(
         self,
@@ -175,6 +204,45 @@
         row: Row,
         parent: InFlight,
         now_ms: float,
+    ) -> EntryResult:
+        identity = _identity_of(request)
+        earlier = parent.sub_calls.get(identity)
+        # A resend by the backend server counts as a retry of the root request.
+        is_resend = earlier is not None and self._is_resend(request, earlier)
+        if is_resend and not parent.allowance.take() and row.repeatable:
+            self._metrics.count_event("resend refused")
+            result = _refused(Reason.RETRIES_EXHAUSTED, key, row.name)
+            if earlier is not SubCallState.NOT_RUN:
+                _weaken(result)
+            return result
+        if len(parent.sub_calls) < SUB_CALL_LIMIT or earlier is not None:
+            parent.sub_calls[identity] = SubCallState.RUNNING
+        result = await self._dispatch_sub_call(request, key, row, parent, now_ms)
+        if identity in parent.sub_calls:
+            parent.sub_calls[identity] = _state_after(result, earlier)
+        if (
+            earlier not in (None, SubCallState.NOT_RUN)
+            and request.request_key is not None
+            and result.reply.reason not in REASONS_PROVED_BY_CLAIM
+        ):
+            _weaken(result)
+        return result
+
+    def _is_resend(self, request: EntryRequest, earlier: SubCallState) -> bool:
+        # Without a key, equal calls may be meant to be made several times; only one
+        # that failed before is taken for a resend.
+        return request.request_key is not None or earlier in (
+            SubCallState.FAILED,
+            SubCallState.NOT_RUN,
+        )
+
+    async def _dispatch_sub_call(
+        self,
+        request: EntryRequest,
+        key: RequestKey,
+        row: Row,
+        parent: InFlight,
+        now_ms: float,
     ) -> EntryResult:
         call = self._make_call(request, key, row, now_ms)
         call.root_id = parent.call.root_id
@@ -218,6 +286,33 @@
     return EntryResult(Refused(reason), Outcome.NOT_RUN, key, row_name)
 
 
+def _weaken(result: EntryResult) -> None:
+    """Take back the claim that a request did not run, as another attempt may have."""
+    if result.outcome is Outcome.NOT_RUN:
+        result.outcome = Outcome.UNKNOWN
+
+
+def _identity_of(request: EntryRequest) -> str:
+    if request.request_key is not None:
+        return request.request_key
+    return fingerprint_request(
+        request.service,
+        request.method,
+        request.path,
+        None if request.body.length < 0 else request.body.length,
+        request.body.data,
+    )
+
+
+def _state_after(result: EntryResult, earlier: SubCallState | None) -> SubCallState:
+    reply = result.reply
+    if isinstance(reply, Answer) and reply.status < SERVER_ERROR_STATUS:
+        return SubCallState.SUCCEEDED
+    if result.outcome is Outcome.NOT_RUN and earlier in (None, SubCallState.NOT_RUN):
+        return SubCallState.NOT_RUN
+    return SubCallState.FAILED
+
+
 def _result(reply: Reply, key: str, row: Row, may_have_run: bool) -> EntryResult:
     if isinstance(reply, Answer):
         outcome = reply.outcome
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
@@ -20,6 +20,8 @@
     from ..calls import HeaderList
 
 KEY_PATTERN = re.compile(r"[A-Za-z0-9_.:-]{1,128}")
+# Other forms of a request target name a host or do not fit into a URL.
+PATH_PATTERN = re.compile(r"/[!-~]*")
 SERVICE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 
@@ -65,6 +67,12 @@
     :raises BadKeyError: if the key is not valid
     :raises InvalidInputError: if another header is not valid
     """
+    if not PATH_PATTERN.fullmatch(path):
+        raise InvalidInputError(
+            "path: expected printable ASCII that starts with '/'",
+            step="read request",
+            peer="caller",
+        )
     key = headers.get(http_headers.REQUEST_KEY)
     if key is not None and not KEY_PATTERN.fullmatch(key):
         raise BadKeyError(
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import count
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -16,6 +17,7 @@
 from ..calls import Answer
 from ..calls import Body
 from ..calls import Refused
+from ..upload import Upload
 from .entry import EntryResult
 from .entry_request import BadKeyError
 from .entry_request import parse_request
@@ -24,8 +26,6 @@
 
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
     from ..control.table_keeper import TableKeeper
     from ..log import EventLog
     from .entry import EntryService
@@ -36,6 +36,10 @@
 BODY_SILENCE_SECONDS = 30.0
 
 
+class BrokenBodyError(InvalidInputError):
+    """The caller's body is malformed or stopped in the middle."""
+
+
 class CallerListener:
     """Owns the listening socket towards callers.
 
@@ -57,6 +61,15 @@
             max_field_size=HEADER_SIZE_LIMIT_BYTES,
         )
         self._listener: asyncio.Server | None = None
+        self._in_progress: dict[int, str] = {}
+        self._numbers = count(1)
+
+    def in_progress(self) -> list[str]:
+        """Return the requests whose answers have not been sent to their end.
+
+        :return: a key or, without one, a method and path for each
+        """
+        return list(self._in_progress.values())
 
     async def start(self, address: tuple[str, int]) -> tuple[str, int]:
         """Start to listen.
@@ -94,9 +107,19 @@
                 body,
             )
         except InvalidInputError as error:
+            self._log.write(
+                "request refused", step=error.step, peer="caller", error=error.message
+            )
             return self._bad_request(error)
-        result = await self._entry.execute(entry_request)
-        return await self._respond(request, result)
+        number = next(self._numbers)
+        self._in_progress[number] = (
+            entry_request.request_key or f"{request.method} {request.path}"
+        )
+        try:
+            result = await self._entry.execute(entry_request)
+            return await self._respond(request, result)
+        finally:
+            del self._in_progress[number]
 
     def _bad_request(self, error: InvalidInputError) -> web.StreamResponse:
         is_key = isinstance(error, BadKeyError)
@@ -151,33 +174,29 @@
     if not request.body_exists:
         return Body()
     length = request.content_length
-    if length is not None and length <= INLINE_BODY_LIMIT_BYTES:
-        data = await request.read()
-        return Body(data, length=len(data))
     first = bytearray()
-    while len(first) < INLINE_BODY_LIMIT_BYTES:
-        part = await request.content.read(INLINE_BODY_LIMIT_BYTES - len(first))
+    is_short = length is not None and length <= INLINE_BODY_LIMIT_BYTES
+    while is_short or len(first) < INLINE_BODY_LIMIT_BYTES:
+        part = await _read_part(request, INLINE_BODY_LIMIT_BYTES - len(first))
         if not part:
             return Body(bytes(first), length=len(first))
         first += part
+    upload = Upload(lambda: _read_part(request, INLINE_BODY_LIMIT_BYTES), len(first))
     return Body(
         bytes(first),
-        rest=_rest_of(request),
+        rest=upload.open(),
         length=UNKNOWN_LENGTH if length is None else length,
+        upload=upload,
     )
 
 
-async def _rest_of(request: web.BaseRequest) -> AsyncIterator[bytes]:
-    while True:
-        try:
-            async with asyncio.timeout(BODY_SILENCE_SECONDS):
-                part = await request.content.read(INLINE_BODY_LIMIT_BYTES)
-        except (TimeoutError, OSError, web.RequestPayloadError) as error:
-            raise MarjoramstepError(
-                f"the caller's body broke off: {error or 'timed out'}",
-                step="read body",
-                peer="caller",
-            ) from error
-        if not part:
-            return
-        yield part
+async def _read_part(request: web.BaseRequest, limit_bytes: int) -> bytes:
+    try:
+        async with asyncio.timeout(BODY_SILENCE_SECONDS):
+            return await request.content.read(max(limit_bytes, 1))
+    except (TimeoutError, OSError, web.RequestPayloadError) as error:
+        raise BrokenBodyError(
+            f"the caller's body broke off: {str(error) or 'timed out'}",
+            step="read body",
+            peer="caller",
+        ) from error
--- a/packages/daemon/src/marjoramstep_daemon/callers/members.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/members.py
@@ -28,6 +28,14 @@
 SERVICE_LIMIT = 1_000
 
 
+class _Subscription:
+    """A service that is watched."""
+
+    def __init__(self, started_ms: float) -> None:
+        self.started_ms = started_ms
+        self.has_members = asyncio.Event()
+
+
 class MemberKeeper:
     """Subscribes to a service on its first call and keeps the router up to date.
 
@@ -51,8 +59,9 @@
         self._router = router
         self._links = links
         self._log = log
-        self._first_updates: dict[ServiceName, asyncio.Event] = {}
+        self._subscriptions: dict[ServiceName, _Subscription] = {}
         self.watch: Callable[[ServiceName], None] = lambda _: None
+        self.unwatch: Callable[[ServiceName], None] = lambda _: None
 
     async def ensure(self, service: ServiceName, deadline_ms: float) -> None:
         """Subscribe to a service and wait for its first members.
@@ -60,21 +69,38 @@
         :param service: service about to be called
         :param deadline_ms: absolute deadline of the call
         """
-        first_update = self._first_updates.get(service)
-        if first_update is None:
-            if len(self._first_updates) >= SERVICE_LIMIT:
+        now_ms = self._clock.now_ms()
+        subscription = self._subscriptions.get(service)
+        if subscription is None:
+            if not self._make_room():
+                self._log.write("service limit reached", step="watch", peer=service)
                 return
-            first_update = self._first_updates[service] = asyncio.Event()
+            subscription = _Subscription(now_ms)
+            self._subscriptions[service] = subscription
             self.watch(service)
-        if first_update.is_set():
+        # The wait is counted from the subscription, so that a service without members
+        # delays only the calls that arrive right after it.
+        until_ms = min(subscription.started_ms + FIRST_UPDATE_WAIT_MS, deadline_ms)
+        if subscription.has_members.is_set() or now_ms >= until_ms:
             return
-        wait_ms = min(FIRST_UPDATE_WAIT_MS, deadline_ms - self._clock.now_ms())
         try:
-            async with asyncio.timeout(max(wait_ms, 0.0) / SECOND_MS):
-                await first_update.wait()
+            async with asyncio.timeout((until_ms - now_ms) / SECOND_MS):
+                await subscription.has_members.wait()
         except TimeoutError:
             return
 
+    def _make_room(self) -> bool:
+        """Drop the oldest subscription to a service without members if need be."""
+        if len(self._subscriptions) < SERVICE_LIMIT:
+            return True
+        for service in self._subscriptions:
+            if not self._view.members(service):
+                del self._subscriptions[service]
+                self._view.forget(service)
+                self.unwatch(service)
+                return True
+        return False
+
     def on_update(self, source: str, update: MemberUpdate) -> None:
         """Take an update of the registry.
 
@@ -105,5 +131,5 @@
             for member in self._view.members(name)
         }
         self._links.retain(addresses)
-        if members and service in self._first_updates:
-            self._first_updates[service].set()
+        if members and service in self._subscriptions:
+            self._subscriptions[service].has_members.set()
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -23,6 +23,8 @@
     from marjoramstep_core.table import Row
     from marjoramstep_wire.messages import LoadReport
 
+    from .upload import Upload
+
 # Bodies up to this size travel whole in the first message; longer ones are streamed.
 INLINE_BODY_LIMIT_BYTES = 65_536
 UNKNOWN_LENGTH = -1
@@ -38,12 +40,29 @@
     :param rest: the parts after ``data``; can be read once
     :param length: total length in bytes, or ``UNKNOWN_LENGTH``
     :param on_abandon: tells the source that the rest will not be read
+    :param upload: source of ``rest`` where it can be read again from its start
     """
 
     data: bytes = b""
     rest: AsyncIterator[bytes] | None = None
     length: int = 0
     on_abandon: Callable[[], None] | None = None
+    upload: Upload | None = None
+
+    @property
+    def can_restart(self) -> bool:
+        """Whether the body can be sent again from its start."""
+        return self.rest is None or (
+            self.upload is not None and self.upload.can_restart
+        )
+
+    def restart(self) -> None:
+        """Go back to the start of the body.
+
+        :raises ConnectionFailedError: if the first parts are gone
+        """
+        if self.upload is not None:
+            self.rest = self.upload.open()
 
     @property
     def is_complete(self) -> bool:
@@ -111,6 +130,8 @@
     :param depth: 0 for a root request
     :param retry_tokens: tokens that the callee may spend on its own sub-calls
     :param started: set just before the request is sent to the backend server
+    :param withdrawn: set when the caller was told the outcome; a call that has not
+        started by then must not start any more
     """
 
     service: ServiceName
@@ -128,6 +149,7 @@
     size_class: SizeClass
     fingerprint: Fingerprint | None = None
     started: bool = False
+    withdrawn: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/marjoramstep_daemon/control/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/client.py
@@ -105,6 +105,13 @@
         for link in self._registry_links(service):
             self._try_send(link, WatchService(service_name=service))
 
+    def unwatch(self, service: ServiceName) -> None:
+        """End a subscription; replicas drop it when the connection ends.
+
+        :param service: name of the service
+        """
+        self._watched.discard(service)
+
     def is_watched(self, service: ServiceName) -> bool:
         """Tell whether a service was subscribed to.
 
--- a/packages/daemon/src/marjoramstep_daemon/control/quarantine_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/quarantine_keeper.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import TYPE_CHECKING
 
 from marjoramstep_wire.messages import QuarantineReport
@@ -13,9 +12,9 @@
 
     from marjoramstep_core.ids import Fingerprint
     from marjoramstep_core.ids import ServiceName
+    from marjoramstep_policy.quarantine import CrashReport
     from marjoramstep_policy.quarantine import QuarantineList
 
-    from ..calls import Call
     from ..log import EventLog
 
 
@@ -51,24 +50,22 @@
         """
         self._quarantine.add(service, fingerprint, remaining_ms)
 
-    def on_crash(self, call: Call) -> None:
-        """Report a request that was running when the backend server broke off.
+    def report(self, report: CrashReport) -> None:
+        """Report a suspect of a crash to the replicas.
 
-        :param call: the call
+        :param report: service, fingerprint and id of the crash
         """
-        if call.fingerprint is None:
-            return
         self._log.write(
             "crash suspect",
             step="run",
-            peer=call.service,
-            request_key=call.request_key,
-            fingerprint=call.fingerprint,
+            peer=report.service,
+            fingerprint=report.fingerprint,
+            report_id=report.report_id,
         )
         self.on_report(
             QuarantineReport(
-                service_name=call.service,
-                fingerprint=call.fingerprint,
-                report_id=secrets.token_hex(12),
+                service_name=report.service,
+                fingerprint=report.fingerprint,
+                report_id=report.report_id,
             )
         )
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -23,6 +23,7 @@
 from . import disabled_decisions as decisions
 from .backend_servers.admission_gate import AdmissionGate
 from .backend_servers.claimed_runs import ClaimedRuns
+from .backend_servers.crash_watch import CrashWatch
 from .backend_servers.in_flight import InFlightMap
 from .backend_servers.own_server import OwnServer
 from .backend_servers.serving import ServingService
@@ -68,7 +69,7 @@
         self._zone = ZoneName(settings.zone)
         self._tables = TableKeeper(clock, log)
         self._metrics = NodeMetrics()
-        self._in_flight = InFlightMap()
+        self._in_flight = InFlightMap(ALLOWANCES.get(self._allowance()))
         self._pressure = PressureKeeper(
             PRESSURE_VARIANTS.get(
                 self._variant(decisions.BACKPRESSURE, "reported", "ignored")
@@ -113,6 +114,7 @@
             self._log,
         )
         members.watch = control.watch
+        members.unwatch = control.unwatch
         claimed_runs = ClaimedRuns(
             self._clock, self._node_id, control.claims, self._log
         )
@@ -123,6 +125,7 @@
             self._in_flight,
             claimed_runs,
             quarantine,
+            CrashWatch(self._clock, self._node_id, quarantine),
             self._pressure,
             self._metrics,
         )
--- a/packages/daemon/src/marjoramstep_daemon/node.py
+++ b/packages/daemon/src/marjoramstep_daemon/node.py
@@ -140,7 +140,7 @@
 
     async def drain(self) -> None:
         """Wait until nothing is in flight and everything is recorded."""
-        while self.entry.in_progress or any(s.in_progress for s in self._sessions):
+        while self.listener.in_progress() or any(s.in_progress for s in self._sessions):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         while len(self.in_flight):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
@@ -150,9 +150,11 @@
     def cut_off(self) -> list[str]:
         """Name what a forced shutdown cuts off.
 
-        :return: request keys of the running requests
+        :return: request keys of the requests that run at the backend server here, or
+            whose callers still wait for the end of the answer
         """
-        return [call.request_key for call in self.in_flight.calls()]
+        running = [call.request_key for call in self.in_flight.calls()]
+        return list(dict.fromkeys([*running, *self.listener.in_progress()]))
 
     async def close(self) -> None:
         """Close all sockets and end the tasks."""
--- a/packages/daemon/src/marjoramstep_daemon/nodes/body_stream.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/body_stream.py
@@ -31,11 +31,19 @@
         self._changed = asyncio.Event()
         self._error: MarjoramstepError | None = None
 
-    def add(self, credit_bytes: int) -> None:
+    def add(self, credit_bytes: int, peer: str) -> None:
         """Allow more bytes.
 
         :param credit_bytes: bytes that the receiver has consumed
+        :param peer: the receiver, for the error
+        :raises ProtocolError: if the credit goes beyond the window
         """
+        if not 0 <= credit_bytes <= WINDOW_BYTES - self._available_bytes:
+            raise ProtocolError(
+                f"a credit of {credit_bytes} bytes goes beyond the window",
+                step="receive credit",
+                peer=peer,
+            )
         self._available_bytes += credit_bytes
         self._changed.set()
 
--- a/packages/daemon/src/marjoramstep_daemon/nodes/conversion.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/conversion.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import TYPE_CHECKING
+from typing import TypeVar
 
+from marjoramstep_core.errors import ProtocolError
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
 from marjoramstep_wire.messages import AnswerStart
@@ -27,6 +30,7 @@
     from ..calls import HeaderList
     from ..calls import Reply
 
+E = TypeVar("E", bound=Enum)
 EMPTY_LOAD = LoadReport(
     in_flight=0,
     limit=0,
@@ -119,16 +123,17 @@
 
     :param message: the message
     :return: the answer; its body holds the first part only
+    :raises ProtocolError: if the outcome, the reason or the tokens are not valid
     """
     length = len(message.body) if message.body_complete else UNKNOWN_LENGTH
     return Answer(
         status=message.status,
         headers=from_headers(message.headers),
         body=Body(message.body, length=length),
-        retry_tokens=message.retry_tokens,
+        retry_tokens=_checked_tokens(message.retry_tokens),
         load=message.load,
-        outcome=Outcome(message.outcome),
-        reason=Reason(message.reason) if message.reason else None,
+        outcome=_member_of(Outcome, message.outcome),
+        reason=_member_of(Reason, message.reason) if message.reason else None,
     )
 
 
@@ -137,11 +142,12 @@
 
     :param message: the message
     :return: the reply
+    :raises ProtocolError: if the reason or the tokens are not valid
     """
     return Refused(
-        Reason(message.reason),
+        _member_of(Reason, message.reason),
         message.detail,
-        message.retry_tokens,
+        _checked_tokens(message.retry_tokens),
         message.load,
         message.retry_after_ms,
     )
@@ -152,11 +158,12 @@
 
     :param message: the message
     :return: the reply
+    :raises ProtocolError: if the reason or the tokens are not valid
     """
     return Failed(
-        Reason(message.reason),
+        _member_of(Reason, message.reason),
         message.detail,
-        message.retry_tokens,
+        _checked_tokens(message.retry_tokens),
         message.load,
         message.crash_suspect,
     )
@@ -171,5 +178,18 @@
     return [(header.name, header.value) for header in headers]
 
 
+def _member_of(kind: type[E], value: str) -> E:
+    try:
+        return kind(value)
+    except ValueError as error:
+        raise ProtocolError(str(error), step="receive reply") from error
+
+
+def _checked_tokens(tokens: int) -> int:
+    if tokens < 0:
+        raise ProtocolError("negative retry tokens", step="receive reply")
+    return tokens
+
+
 def _to_headers(headers: HeaderList) -> list[Header]:
     return [Header(name=name, value=value) for name, value in headers]
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link.py
@@ -17,6 +17,7 @@
 from marjoramstep_wire.messages import Credit
 from marjoramstep_wire.messages import Refusal
 
+from ..calls import Answer
 from ..calls import Failed
 from ..calls import Refused
 from .body_stream import CreditWindow
@@ -35,7 +36,6 @@
     from marjoramstep_wire.connection import PeerConnection
     from marjoramstep_wire.messages import Message
 
-    from ..calls import Answer
     from ..calls import Call
     from ..calls import Reply
 
@@ -131,7 +131,11 @@
             stream.sender = asyncio.create_task(
                 self._send_body(connection, stream_id, call, stream)
             )
-        return await self._wait(connection, stream_id, stream, budget_ms)
+        reply = await self._wait(connection, stream_id, stream, budget_ms)
+        if stream.sender is not None and not isinstance(reply, Answer):
+            # Another node may be sent the body next.
+            await asyncio.wait({stream.sender})
+        return reply
 
     def on_message(self, connection: PeerConnection, message: Message) -> None:
         """Take a message of the peer.
@@ -155,7 +159,7 @@
         elif isinstance(message, BodyPart):
             self._on_body_part(stream, message)
         elif isinstance(message, Credit):
-            stream.window.add(message.credit_bytes)
+            stream.window.add(message.credit_bytes, connection.peer)
         elif isinstance(message, CancelReply):
             stream.finish(_after_cancel(message))
         else:
@@ -185,25 +189,26 @@
         stream: _Stream,
         budget_ms: float,
     ) -> Reply:
+        is_cancelled = True
         try:
-            async with asyncio.timeout(max(budget_ms, 0.0) / SECOND_MS):
-                reply = await asyncio.shield(stream.reply)
-        except TimeoutError:
-            reply = await self._cancel(connection, stream_id, stream)
-        except asyncio.CancelledError:
-            if connection.is_open:
-                connection.send(Cancel(stream_id=stream_id))
-            self._drop(stream_id, stream)
-            raise
-        if stream.incoming is None:
-            self._drop(stream_id, stream)
-        return reply
+            try:
+                async with asyncio.timeout(max(budget_ms, 0.0) / SECOND_MS):
+                    reply = await asyncio.shield(stream.reply)
+            except TimeoutError:
+                reply = await self._cancel(connection, stream_id, stream)
+            is_cancelled = False
+            return reply
+        finally:
+            if is_cancelled:
+                self._send_cancel(connection, stream_id)
+            if is_cancelled or stream.incoming is None:
+                self._drop(stream_id, stream)
 
     async def _cancel(
         self, connection: PeerConnection, stream_id: int, stream: _Stream
     ) -> Reply:
         if connection.is_open:
-            connection.send(Cancel(stream_id=stream_id))
+            self._send_cancel(connection, stream_id)
             try:
                 async with asyncio.timeout(CANCEL_REPLY_WAIT_SECONDS):
                     return await asyncio.shield(stream.reply)
@@ -211,6 +216,15 @@
                 pass
         return Failed(Reason.DEADLINE, "no reply before the deadline")
 
+    def _send_cancel(self, connection: PeerConnection, stream_id: int) -> None:
+        if not connection.is_open:
+            return
+        try:
+            connection.send(Cancel(stream_id=stream_id))
+        except ConnectionFailedError:
+            # The connection has closed, which cancels its calls at the peer.
+            return
+
     def _drop(self, stream_id: int, stream: _Stream) -> None:
         self._streams.pop(stream_id, None)
         if stream.sender is not None:
@@ -219,6 +233,13 @@
     def _on_answer(
         self, connection: PeerConnection, stream: _Stream, message: AnswerStart
     ) -> None:
+        if stream.incoming is not None:
+            # The parts that follow could belong to either answer.
+            raise ProtocolError(
+                f"second answer on stream {message.stream_id}",
+                step="receive reply",
+                peer=connection.peer,
+            )
         answer: Answer = to_answer(message)
         if not message.body_complete:
             stream.incoming = IncomingBody(connection, message.stream_id)
@@ -239,8 +260,7 @@
         stream = self._streams.get(stream_id)
         if stream is None or self._connection is None:
             return
-        if self._connection.is_open:
-            self._connection.send(Cancel(stream_id=stream_id))
+        self._send_cancel(self._connection, stream_id)
         self._drop(stream_id, stream)
 
     def _on_body_part(self, stream: _Stream, message: BodyPart) -> None:
@@ -257,8 +277,7 @@
             await send_rest(connection, stream_id, call.body, stream.window)
         except MarjoramstepError as error:
             # The caller's body broke off: the call must not go on with a part of it.
-            if connection.is_open:
-                connection.send(Cancel(stream_id=stream_id))
+            self._send_cancel(connection, stream_id)
             stream.finish(Failed(Reason.CANCELLED, error.message))
 
 
--- a/packages/daemon/src/marjoramstep_daemon/nodes/session.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/session.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING
 
+from marjoramstep_core.errors import ConnectionFailedError
 from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.errors import ProtocolError
 from marjoramstep_core.ids import RequestKey
@@ -44,6 +46,9 @@
 
 STREAM_LIMIT = 20_000
 MAXIMUM_DEPTH = 64
+# Highest value of the table's column ``retries``.
+MAXIMUM_RETRY_TOKENS = 10
+SIZE_CLASS_NAMES = frozenset(size_class.value for size_class in SizeClass)
 
 
 class _ServerStream:
@@ -109,7 +114,7 @@
                 stream.incoming.feed(message)
         elif isinstance(message, Credit):
             if stream is not None:
-                stream.window.add(message.credit_bytes)
+                stream.window.add(message.credit_bytes, self._connection.peer)
         else:
             raise ProtocolError(
                 f"unexpected {type(message).__name__}",
@@ -137,9 +142,14 @@
                 step="receive call",
                 peer=self._connection.peer,
             )
-        if not 0 <= message.depth <= MAXIMUM_DEPTH or message.retry_tokens < 0:
+        if (
+            not 0 <= message.depth <= MAXIMUM_DEPTH
+            or not 0 <= message.retry_tokens <= MAXIMUM_RETRY_TOKENS
+            or not math.isfinite(message.budget_ms)
+            or message.size_class not in SIZE_CLASS_NAMES
+        ):
             raise ProtocolError(
-                "depth or retry tokens out of bounds",
+                "depth, retry tokens, budget or size class out of bounds",
                 step="receive call",
                 peer=self._connection.peer,
             )
@@ -155,14 +165,34 @@
             body.rest = stream.incoming
         deadline_ms = self._clock.now_ms() + message.budget_ms
         stream.task = asyncio.create_task(self._run(message, stream, body, deadline_ms))
+        stream.task.add_done_callback(
+            lambda _: self._on_end_of(message.stream_id, stream)
+        )
 
     def _on_cancel(self, message: Cancel, stream: _ServerStream | None) -> None:
         if stream is None or stream.task is None:
             # The stream has ended and its reply, sent before, tells the outcome.
             return
         stream.cancelled_by_peer = True
+        if stream.incoming is not None:
+            # A run under a claim outlives its caller; it must not wait for the body.
+            stream.incoming.fail(
+                ConnectionFailedError(
+                    "the caller cancelled the call",
+                    step="receive body",
+                    peer=self._connection.peer,
+                )
+            )
         stream.task.cancel()
 
+    def _on_end_of(self, stream_id: int, stream: _ServerStream) -> None:
+        # A callback of the task, because a task that is cancelled before its first
+        # step runs no code of its own.
+        self._streams.pop(stream_id, None)
+        if stream.cancelled_by_peer and not stream.replied:
+            ran = stream.call is not None and stream.call.started
+            self._send(CancelReply(stream_id=stream_id, ran=ran))
+
     async def _run(
         self,
         message: CallStart,
@@ -182,15 +212,18 @@
                     )
                 finally:
                     reply.body.abandon()
-        except asyncio.CancelledError:
-            if stream.cancelled_by_peer and not stream.replied:
-                ran = stream.call is not None and stream.call.started
-                self._send(CancelReply(stream_id=stream_id, ran=ran))
         except MarjoramstepError as error:
             self._log.write("call broke off", step=error.step, peer=error.peer)
             self._send_reply(Failed(Reason.CONNECTION_LOST, error.message), stream_id)
-        finally:
-            self._streams.pop(stream_id, None)
+        except Exception as error:
+            # Without a reply the caller would wait until its deadline.
+            self._log.write(
+                "internal error",
+                step="run call",
+                peer=self._connection.peer,
+                error=repr(error),
+            )
+            self._send_reply(Failed(Reason.INTERNAL, type(error).__name__), stream_id)
 
     async def _execute(
         self,
@@ -226,5 +259,9 @@
         self._send(to_message(reply, stream_id, self._tables.version))
 
     def _send(self, message: Message) -> None:
-        if self._connection.is_open:
+        if not self._connection.is_open:
+            return
+        try:
             self._connection.send(message)
+        except ConnectionFailedError as error:
+            self._log.write("reply not sent", step=error.step, peer=error.peer)
