State how several decisions are turned off on the command line

Cause: in a trial the option was given twice, and only the last decision was turned off. Change: the help says that all names follow one option.

--- a/packages/replay/src/marjoramstep_replay/commands/latency.py
+++ b/packages/replay/src/marjoramstep_replay/commands/latency.py
@@ -21,7 +21,8 @@
     :param output: JSON file for the figures
     :param calls: calls of each kind in one run
     :param runs: number of runs, each with new processes
-    :param disabled: decisions that are turned off on a second path
+    :param disabled: decisions that are turned off on a second path, all after one
+        option: a repeated option replaces the names before it
     :param replicas: number of control replicas
     :return: exit status 0
     """
--- a/packages/replay/src/marjoramstep_replay/commands/replay.py
+++ b/packages/replay/src/marjoramstep_replay/commands/replay.py
@@ -26,7 +26,8 @@
     :param folder: folder with deployment.json, trace.jsonl and outcomes.json
     :param output: folder for the summary and the histogram logs
     :param runs: number of runs of each variant
-    :param baseline_disabled: decisions that a baseline turns off, run in turn
+    :param baseline_disabled: decisions that a baseline turns off, all after one
+        option: a repeated option replaces the names before it
     :param seed: seed of the stand-in backend servers
     :param request_limit: largest number of requests in the trace
     :param run_limit_seconds: longest time of one run
