Close idle keep-alive connections at the end of a node

Cause: a node logged "stopped" and did not exit while a caller kept an idle connection open: the server's shutdown waits for the handler task of such a connection for ever. Ruled out: the announce and metrics sites, whose close took 0.3 ms with an idle connection. Change: the server's pre_shutdown step closes idle connections first.

--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -32,6 +32,7 @@
 
 HEADER_SIZE_LIMIT_BYTES = 16_384
 KEEPALIVE_SECONDS = 75.0
+SHUTDOWN_SECONDS = 1.0
 # A caller that stops sending its body in the middle holds a stream for no longer.
 BODY_SILENCE_SECONDS = 30.0
 
@@ -91,7 +92,9 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._server.shutdown(0.0)
+        # Without this step the shutdown waits for idle keep-alive connections to end.
+        self._server.pre_shutdown()
+        await self._server.shutdown(SHUTDOWN_SECONDS)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
