Send changes of the table to nodes as deltas

Cause: each change sent the whole table to each node. Change: a reply holds the rows that differ from the version that the node has, encoded once for all nodes; the whole table is sent when that version is not kept any more. Conclusion: the cost follows the change, not the size of the table.

--- a/features/core/table.feature
+++ b/features/core/table.feature
@@ -35,6 +35,15 @@
       | GET    | /            | audits  | any-get      |
       | DELETE | /            | audits  | default      |
 
+  Scenario: A delta holds only what changed and makes the same table
+    Given a new table
+    And the table row "read" with cells weight=7
+    And the table row "write" with cells weight=9
+    When the table edit adds row "late" with cells weight=1 and drops row "read"
+    Then the delta before has 1 changed and 1 dropped row
+    And the delta read back from its JSON makes the table
+    And the delta is refused by a table of another version
+
   Scenario: A table survives the way through JSON
     Given a new table
     And the table row "read" with cells weight=7, repeatable=yes, size_class=long
--- a/features/steps/core_table_steps.py
+++ b/features/steps/core_table_steps.py
@@ -8,12 +8,14 @@
 from behave import given
 from behave import then
 from behave import when
+from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.ids import RowName
 from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.table import EditOperation
 from marjoramstep_core.table import RowMatcher
 from marjoramstep_core.table import Table
 from marjoramstep_core.table import apply_operations
+from marjoramstep_core.table.delta import TableDelta
 from marjoramstep_core.table.edit import OperationKind
 from marjoramstep_core.table.row import InvalidCellsError
 
@@ -24,6 +26,7 @@
 
 def _edit(context: Any, *operations: EditOperation) -> None:
     context.faults = []
+    context.table_before = context.step_table
     try:
         context.step_table = apply_operations(context.step_table, operations)
     except InvalidCellsError as error:
@@ -82,3 +85,26 @@
 def step_json(context: Any) -> None:
     document = json.loads(json.dumps(context.step_table.to_json()))
     assert Table.from_json(document) == context.step_table
+
+
+@then("the delta before has {changed:d} changed and {dropped:d} dropped row")
+def step_delta(context: Any, changed: int, dropped: int) -> None:
+    context.delta = TableDelta.between(context.table_before, context.step_table)
+    assert len(context.delta.changed) == changed, context.delta
+    assert len(context.delta.dropped) == dropped, context.delta
+
+
+@then("the delta read back from its JSON makes the table")
+def step_delta_applies(context: Any) -> None:
+    delta = TableDelta.from_json(json.loads(json.dumps(context.delta.to_json())))
+    assert delta.apply(context.table_before) == context.step_table
+
+
+@then("the delta is refused by a table of another version")
+def step_delta_refused(context: Any) -> None:
+    try:
+        context.delta.apply(context.step_table)
+    except InvalidInputError as error:
+        assert error.step == "apply table delta"
+    else:
+        raise AssertionError("a delta was applied to another version")
--- a/packages/daemon/src/marjoramstep_daemon/control/node_service.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/node_service.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import MarjoramstepError
@@ -41,6 +40,7 @@
 
 from .claim_verdict import ClaimVerdict
 from .replicated_state import NotLeaderError
+from .table_sender import TableSender
 
 
 if TYPE_CHECKING:
@@ -83,6 +83,7 @@
     ) -> None:
         self._clock = clock
         self._state = state
+        self._tables = TableSender(state.machine)
         self._registry = registry
         self._log = log
         self._warm_ms = clock.now_ms() + REGISTRY_WARM_UP_MS
@@ -183,13 +184,9 @@
             self._send(connection, notice)
 
     def _on_table_get(self, connection: PeerConnection, message: TableGet) -> None:
-        table = self._state.machine.table
-        data = b""
-        if table.version > message.have_version:
-            data = json.dumps(table.to_json()).encode()
         reply = TableReply(
-            version=table.version,
-            table_json=data,
+            version=self._state.machine.table.version,
+            table_json=self._tables.encode(message.have_version),
             confirmed_ms=self._state.confirmed_age_ms(),
         )
         self._send(connection, reply)
--- a/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
@@ -5,9 +5,11 @@
 import asyncio
 import json
 from typing import TYPE_CHECKING
+from typing import Any
 
 from marjoramstep_core.table import RowMatcher
 from marjoramstep_core.table import Table
+from marjoramstep_core.table.delta import TableDelta
 
 
 if TYPE_CHECKING:
@@ -96,19 +98,30 @@
         :raises InvalidInputError: if the table is not valid
         """
         if reply.table_json:
-            table = Table.from_json(json.loads(reply.table_json))
-            if table.version > self.version:
-                self._matcher = RowMatcher(table)
-                self._table = table
-                self._log.write(
-                    "table in force", step="receive table", version=table.version
-                )
+            self._take(json.loads(reply.table_json))
         if reply.confirmed_ms >= 0 and reply.version == self.version:
             confirmed_ms = self._clock.now_ms() - reply.confirmed_ms
             self._confirmed_ms = max(self._confirmed_ms, confirmed_ms)
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def _take(self, document: dict[str, Any]) -> None:
+        if "base_version" in document:
+            delta = TableDelta.from_json(document)
+            if self._table is None or self._table.version != delta.base_version:
+                # Another replica's reply came first, so this one has another base.
+                self.on_newer_seen()
+                return
+            table = delta.apply(self._table)
+        else:
+            table = Table.from_json(document)
+        if table.version > self.version:
+            self._matcher = RowMatcher(table)
+            self._table = table
+            self._log.write(
+                "table in force", step="receive table", version=table.version
+            )
+
     async def wait_for(self, version: int, deadline_ms: float) -> None:
         """Wait until a version is in force, or for a bounded time.
 
