Show the members of all services in the operator's command

Cause: each service is registered at two replicas, and the command asked the first replica that answered, so members were missing; the field names of the members and the quarantine differed between replica and command. Change: the command asks every replica and merges; service_name on both sides.

--- a/packages/command/src/marjoramstep_command/client.py
+++ b/packages/command/src/marjoramstep_command/client.py
@@ -110,6 +110,25 @@
         answer = await self.request("GET", path, query=query)
         return _checked(answer, path).document
 
+    async def get_from_each(self, path: str) -> list[dict[str, Any]]:
+        """Read from every replica, for state that each one holds a part of.
+
+        :param path: path with a leading slash
+        :return: the decoded bodies of the replicas that answered
+        :raises MarjoramstepError: if no replica answers or a request is refused
+        """
+        documents: list[dict[str, Any]] = []
+        failures: list[_Failure] = []
+        for address in self._addresses:
+            outcome = await self._attempt(address, "GET", path, None, None)
+            if isinstance(outcome, Answer):
+                documents.append(_checked(outcome, path).document)
+            else:
+                failures.append(outcome)
+        if not documents:
+            raise _exhausted("GET", failures)
+        return documents
+
     async def post(
         self, path: str, body: Mapping[str, Any], *, resend: bool
     ) -> dict[str, Any]:
--- a/packages/command/src/marjoramstep_command/commands/members.py
+++ b/packages/command/src/marjoramstep_command/commands/members.py
@@ -33,7 +33,14 @@
     """
 
     async def read(client: ControlClient) -> dict[str, Any]:
-        return await client.get("/v1/members")
+        # Each service is registered at two replicas only.
+        documents = await client.get_from_each("/v1/members")
+        found = {
+            member["server_id"]: member
+            for document in documents
+            for member in document.get("members", [])
+        }
+        return {"members": [found[server_id] for server_id in sorted(found)]}
 
     document = run_session(
         read, control=control, token_file=token_file, timeout_ms=timeout_ms
--- a/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
+++ b/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
@@ -223,7 +223,7 @@
     async def _get_members(self, _: web.Request) -> web.Response:
         members = [
             {
-                "service": service,
+                "service_name": service,
                 "server_id": member.server_id,
                 "node_id": member.node_id,
                 "address": member.address,
@@ -240,7 +240,7 @@
     async def _get_quarantine(self, _: web.Request) -> web.Response:
         entries = [
             {
-                "service": entry.service_name,
+                "service_name": entry.service_name,
                 "fingerprint": entry.fingerprint,
                 "remaining_ms": entry.remaining_ms,
             }
