Look a key up before a settlement is reported as not run

Cause: a row that may not be repeated was reported as "not-run" when this attempt was refused before its claim. An earlier attempt under the same key may have run through another entry node, whose history this node does not have; the caller could then go on with a new key and run it twice. Ruled out: closing the key on each refusal, which would make callers take a new key for each resend under overload; asking callers to number attempts, which generic retry libraries don't do. Change: such a refusal is confirmed by a lookup at the replicas: none, abandoned or closed stays not-run; done gives the stored answer; running, expired or no quorum is unknown. An attempt that is still in flight elsewhere and claims after the lookup is the remaining gap; docs/callers.md has to say so. Conclusion: the outcome is about the key, not only about this attempt.

--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/claimed_runs.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/claimed_runs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 import secrets
 from typing import TYPE_CHECKING
 
@@ -11,12 +10,8 @@
 from marjoramstep_core.ids import AttemptId
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
-from marjoramstep_wire.codec import decode_struct
-from marjoramstep_wire.codec import encode_struct
 from marjoramstep_wire.messages import ClaimEnd
 from marjoramstep_wire.messages import ClaimRequest
-from marjoramstep_wire.messages import Header
-from marjoramstep_wire.messages import StoredAnswer
 
 from .. import http_headers
 from ..calls import Answer
@@ -24,6 +19,8 @@
 from ..calls import Failed
 from ..calls import Refused
 from ..control.claim_verdict import ClaimVerdict
+from .stored_answers import from_stored
+from .stored_answers import to_stored
 
 
 if TYPE_CHECKING:
@@ -44,7 +41,6 @@
 STORE_WAIT_MS = 2_000.0
 ANSWER_LIMIT_BYTES = 16 * 1024 * 1024
 SECOND_MS = 1_000.0
-HTTP_OK = 200
 
 
 class ClaimedRuns:
@@ -160,7 +156,7 @@
             request_key=call.request_key,
             attempt_id=attempt_id,
             end_state="done",
-            stored_answer=_to_stored(answer, call.row.stored_answer_limit_bytes),
+            stored_answer=to_stored(answer, call.row.stored_answer_limit_bytes),
         )
         task = asyncio.create_task(self._claims.end(end))
         self._keep(task)
@@ -218,28 +214,6 @@
     answer.body = Body(bytes(parts), length=len(parts))
 
 
-def _to_stored(answer: Answer, limit_bytes: int) -> bytes:
-    data = answer.body.data
-    is_stored = len(data) <= limit_bytes
-    stored = StoredAnswer(
-        status=answer.status,
-        headers=[Header(name=name, value=value) for name, value in answer.headers],
-        body=data if is_stored else b"",
-        body_stored=is_stored,
-        body_length=len(data),
-        body_sha256=hashlib.sha256(data).hexdigest(),
-    )
-    return encode_struct(stored)
-
-
-def _from_stored(data: bytes) -> Answer:
-    stored = decode_struct(StoredAnswer, data, "claim")
-    if not stored.body_stored:
-        return Answer(HTTP_OK, [], Body(), reason=Reason.ANSWER_NOT_STORED)
-    headers = [(header.name, header.value) for header in stored.headers]
-    return Answer(stored.status, headers, Body(stored.body, length=stored.body_length))
-
-
 _REFUSALS = {
     ClaimVerdict.CLOSED: Reason.KEY_CLOSED,
     ClaimVerdict.EXPIRED: Reason.KEY_EXPIRED,
@@ -250,7 +224,7 @@
 
 def _not_granted(call: Call, verdict: ClaimVerdict, claim: ClaimReply) -> Reply:
     if verdict is ClaimVerdict.DONE:
-        answer = _from_stored(claim.stored_answer)
+        answer = from_stored(claim.stored_answer)
         answer.outcome = Outcome.DONE
         answer.retry_tokens = call.retry_tokens
         return answer
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -35,6 +35,7 @@
     from ..control.table_keeper import TableKeeper
     from ..metrics import NodeMetrics
     from ..pressure_keeper import PressureKeeper
+    from .claim_check import ClaimCheck
     from .dispatcher import Dispatcher
     from .entry_request import EntryRequest
 
@@ -78,6 +79,7 @@
     :param dispatcher: chooses backend servers and retries
     :param make_allowance: makes the retry tokens of a request without a caller's key
     :param metrics: counters and histograms
+    :param claim_check: looks up keys that are about to be reported as not run
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         dispatcher: Dispatcher,
         make_allowance: Callable[[int], RetryAllowance],
         metrics: NodeMetrics,
+        claim_check: ClaimCheck,
     ) -> None:
         self._clock = clock
         self._tables = tables
@@ -101,6 +104,7 @@
         self._dispatcher = dispatcher
         self._make_allowance = make_allowance
         self._metrics = metrics
+        self._claim_check = claim_check
         self._history = KeyHistory()
         self.is_shutting_down = False
         self.in_progress = 0
@@ -115,6 +119,7 @@
         self.in_progress += 1
         try:
             result = await self._execute(request, started_ms)
+            await self._confirm_not_run(request, result)
         finally:
             self.in_progress -= 1
         reason = result.reply.reason
@@ -125,6 +130,20 @@
         )
         return result
 
+    async def _confirm_not_run(
+        self, request: EntryRequest, result: EntryResult
+    ) -> None:
+        if (
+            result.outcome is not Outcome.NOT_RUN
+            or request.request_key is None
+            or result.reply.reason in REASONS_PROVED_BY_CLAIM
+            or not self._tables.has_table
+        ):
+            return
+        row = self._tables.match(request.service, request.method, request.path)
+        if not row.repeatable:
+            await self._claim_check.confirm(result, request.request_key)
+
     async def _execute(self, request: EntryRequest, now_ms: float) -> EntryResult:
         key = request.request_key or RequestKey(secrets.token_hex(KEY_BYTES))
         if not self._tables.has_table:
--- a/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
@@ -115,6 +115,13 @@
             table = delta.apply(self._table)
         else:
             table = Table.from_json(document)
+        self.put(table)
+
+    def put(self, table: Table) -> None:
+        """Put a table in force unless it is older.
+
+        :param table: the table
+        """
         if table.version > self.version:
             self._matcher = RowMatcher(table)
             self._table = table
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -27,6 +27,7 @@
 from .backend_servers.in_flight import InFlightMap
 from .backend_servers.own_server import OwnServer
 from .backend_servers.serving import ServingService
+from .callers.claim_check import ClaimCheck
 from .callers.dispatcher import Dispatcher
 from .callers.entry import EntryService
 from .callers.listener import CallerListener
@@ -42,6 +43,7 @@
 
 if TYPE_CHECKING:
     from marjoramstep_core.clock import Clock
+    from marjoramstep_policy.routing import Router
     from marjoramstep_wire.messages import Hello
 
     from .log import EventLog
@@ -129,7 +131,8 @@
             self._pressure,
             self._metrics,
         )
-        entry = self._build_entry(members, router, links, serving)
+        claim_check = ClaimCheck(self._clock, control.claims, self._metrics)
+        entry = self._build_entry(members, router, links, serving, claim_check)
         return Node(
             settings=self._settings,
             node_settings=self._node_settings,
@@ -152,9 +155,10 @@
     def _build_entry(
         self,
         members: MemberKeeper,
-        router: object,
+        router: Router,
         links: LinkPool,
         serving: ServingService,
+        claim_check: ClaimCheck,
     ) -> EntryService:
         budget = SERVICE_BUDGETS.get(
             self._variant(decisions.RETRY_BOUND, "share", "unlimited")
@@ -166,7 +170,7 @@
             self._clock,
             self._node_id,
             members,
-            router,  # type: ignore[arg-type]
+            router,
             budget,
             links,
             serving,
@@ -184,6 +188,7 @@
             dispatcher,
             ALLOWANCES.get(self._allowance()),
             self._metrics,
+            claim_check,
         )
 
     def _admission(self) -> str:
