Bound how far a leader's wall clock can move the log time

Cause: the log time never goes down, and the leader stamped its wall clock. A clock years ahead would have made all keys of callers expired for good. Change: within one term the log time follows the wall clock, but at most 12 h ahead of the watermark and the time that has passed; fresh keys, which live 24 h, stay valid. After the control plane was down for more than 12 h, each new term catches up by another 12 h. Conclusion: one wrong clock shortens the lifetime of keys and stops nothing.

--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/control/log_time.py
@@ -0,0 +1,44 @@
+"""Time that the leader stamps on commands."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+
+if TYPE_CHECKING:
+    from marjoramstep_core.clock import Clock
+
+# The log time never goes down, so a leader whose wall clock is far ahead would expire
+# the keys of all callers for good. Half the lifetime of a key keeps fresh keys valid.
+JUMP_LIMIT_MS = 12 * 3_600_000
+
+
+class LogTime:
+    """Follows the wall clock, with a bound on how far one leadership may jump ahead.
+
+    :param clock: clock of the process
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._term = -1
+        self._base_ms = 0
+        self._base_now_ms = 0.0
+
+    def stamp(self, watermark_ms: int, term: int) -> int:
+        """Return the log time of a new command.
+
+        :param watermark_ms: highest log time applied, 0 in a new deployment
+        :param term: term in which this replica leads
+        :return: Unix milliseconds, never below the watermark
+        """
+        if term != self._term:
+            self._term = term
+            self._base_ms = watermark_ms
+            self._base_now_ms = self._clock.now_ms()
+        wall_ms = self._clock.wall_ms()
+        if self._base_ms == 0:
+            return max(watermark_ms, wall_ms)
+        elapsed_ms = int(self._clock.now_ms() - self._base_now_ms)
+        ceiling_ms = self._base_ms + elapsed_ms + JUMP_LIMIT_MS
+        return max(watermark_ms, min(wall_ms, ceiling_ms))
--- a/packages/daemon/src/marjoramstep_daemon/control/replica.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica.py
@@ -26,6 +26,7 @@
 from marjoramstep_wire.messages import JoinReply
 from marjoramstep_wire.messages import JoinRequest
 
+from .log_time import LogTime
 from .quorum_contact import QuorumContact
 from .replicated_state import NotLeaderError
 
@@ -94,6 +95,7 @@
         self._address = address
         self._clock = clock
         self._links = links
+        self._log_time = LogTime(clock)
         self._log = log
         self._timing = Timing()
         stored = folder.load()
@@ -250,7 +252,7 @@
         self._folder.close()
 
     def _log_time_ms(self) -> int:
-        return max(self.machine.watermark_ms, self._clock.wall_ms())
+        return self._log_time.stamp(self.machine.watermark_ms, self.core.term)
 
     async def _advance_time(self) -> None:
         try:
