--- a/packages/replay/src/marjoramstep_replay/measure/__init__.py
+++ b/packages/replay/src/marjoramstep_replay/measure/__init__.py
@@ -1,1 +1,1 @@
-"""Measuring tools for the control replicas, on real processes and data folders."""
+"""Tools that measure costs on one machine."""
