Test requests and failures through real processes

Cause: the node role had only been run by hand.

Faults found and fixed: a node with an open caller connection never ended on SIGTERM, because aiohttp takes a shutdown limit of 0 for none; a link reported an expired call as failed although its reply came in the same moment.

--- a/features/daemon/entry.feature
+++ b/features/daemon/entry.feature
@@ -32,3 +32,8 @@
   Scenario: An upload of undeclared length over the limit breaks off
     When an upload of 1 MiB with a limit of 512 KiB is read to its end
     Then the reader of the upload gets at most 512 KiB and an error
+
+  Scenario: A sub-call after the end of its parent
+    When a sub-call arrives while its parent runs and another after its end
+    Then the first is dispatched with the parent's weight and deadline
+    And the second is refused because its parent has ended and did not run
--- /dev/null
+++ b/features/daemon/requests.feature
@@ -0,0 +1,101 @@
+Feature: Requests through separate processes
+  Guards against answers of other requests, second runs of a request that may not be
+  repeated, "not run" for a request that ran, retries that multiply along a call chain,
+  and malformed input that disturbs other callers.
+
+  Background:
+    Given a deployment with a call chain and a store
+
+  Scenario: Hundreds of calls with random delays and deadlines
+    When 400 calls with random delays and deadlines go through all nodes
+    Then each call has exactly one outcome and no answer of another call
+    And no call that is reported as not run is in a run log
+    And at least one call met its deadline and at least one was answered
+
+  Scenario: Long uploads and downloads beside short calls
+    When 20 MB are uploaded and 20 MB are downloaded twice while short calls go on
+    Then each upload and download is complete and its own
+    And the short calls were answered meanwhile
+
+  Scenario: A caller that disconnects cancels a call chain
+    When the caller of a slow call over three services disconnects
+    Then the runs at all three services are recorded as cancelled
+
+  Scenario: Retries over a chain are bounded by the row of the root
+    When a call over three services fails at the last one and each server resends
+    Then the runs of the chain hold at most 2 retries and at least 1
+
+  Scenario: A resend through another node gets the stored answer
+    When a settlement is sent and sent again through all other nodes
+    Then all of them got the same answer as done
+    And the settlement ran once
+
+  Scenario: A resend while the settlement runs
+    When a slow settlement is sent again through another node while it runs
+    Then the resend is told that the outcome is unknown, with a time to retry
+    And the first sender is told that it is done
+    And the settlement ran once
+
+  Scenario: A key reused for other content
+    When the key of a settlement is reused for other content
+    Then the reuse is refused with status 422 as not run
+    And the settlement ran once
+
+  Scenario Outline: Keys that are not valid
+    When a settlement is sent with <key>
+    Then it is refused with status <status> as not run
+    And the settlement ran never
+
+    Examples:
+      | key                        | status |
+      | no key                     | 400    |
+      | a malformed key            | 400    |
+      | a key with bad characters  | 400    |
+      | an expired key             | 410    |
+      | a key of the future        | 400    |
+
+  Scenario Outline: Malformed input of callers
+    When a raw caller sends <input>
+    Then that caller gets status <status> or the end of its connection
+    And other callers are served
+
+    Examples:
+      | input                     | status |
+      | an oversized head         | 400    |
+      | a body over the limit     | 413    |
+      | chunks over the limit     | 502    |
+      | a negative length         | 400    |
+      | a malformed chunk         | 400    |
+      | a target with a host      | 400    |
+      | garbage                   | 400    |
+
+  Scenario: A caller that stops in the middle of its body
+    When a raw caller stops in the middle of its body and leaves
+    Then other callers are served
+    And nothing of it has run
+
+  Scenario Outline: Malformed announcements
+    When an announcement is sent with <fault>
+    Then the announcement is refused with a client error
+    And the announced backend server still serves
+
+    Examples:
+      | fault                     |
+      | no JSON                   |
+      | a body over its limit     |
+      | deeply nested JSON        |
+      | a service of bad text     |
+      | a port out of range       |
+      | an older incarnation      |
+
+  Scenario Outline: Malformed frames at the peer listener
+    When a raw peer sends <frames> to a node's peer address
+    Then the node closes that connection and logs it
+    And other callers are served
+
+    Examples:
+      | frames                    |
+      | garbage                   |
+      | an oversized frame        |
+      | an unknown message type   |
+      | a wrong proof             |
--- a/features/steps/daemon_entry_steps.py
+++ b/features/steps/daemon_entry_steps.py
@@ -9,18 +9,32 @@
 from behave import then
 from behave import when
 from daemon_harness import CLOCK
+from daemon_harness import make_call
+from daemon_harness import make_tables
 from daemon_harness import run
 from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.ids import RequestKey
 from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.ids import ZoneName
 from marjoramstep_core.states import Outcome
+from marjoramstep_core.states import Reason
+from marjoramstep_daemon.backend_servers.in_flight import InFlightMap
+from marjoramstep_daemon.callers.entry import EntryService
+from marjoramstep_daemon.callers.entry_request import parse_request
 from marjoramstep_daemon.callers.key_history import KeyHistory
 from marjoramstep_daemon.callers.members import SERVICE_LIMIT
 from marjoramstep_daemon.callers.members import MemberKeeper
+from marjoramstep_daemon.calls import Answer
+from marjoramstep_daemon.calls import Body
 from marjoramstep_daemon.log import EventLog
+from marjoramstep_daemon.metrics import NodeMetrics
+from marjoramstep_daemon.pressure_keeper import PressureKeeper
 from marjoramstep_daemon.upload import Upload
+from marjoramstep_policy.admission import SIZE_CLASS_VARIANTS
 from marjoramstep_policy.membership import MembershipView
+from marjoramstep_policy.pressure import PRESSURE_VARIANTS
+from marjoramstep_policy.retries import ResendLedger
+from marjoramstep_policy.retries import RetryAllowance
 from marjoramstep_policy.routing import ROUTERS
 from marjoramstep_wire.messages import Member
 from marjoramstep_wire.messages import MemberUpdate
@@ -242,3 +256,62 @@
     content, error = context.limited
     assert error is not None
     assert len(content) == 512 * 1024
+
+
+class FakeDispatcher:
+    """Answers each call and keeps it."""
+
+    def __init__(self) -> None:
+        self.calls: list[Any] = []
+
+    async def dispatch(self, call: Any, _allowance: Any) -> tuple[Any, bool]:
+        """Answer."""
+        self.calls.append(call)
+        return Answer(200, [], Body(b"ok", length=2)), False
+
+
+@when("a sub-call arrives while its parent runs and another after its end")
+def step_sub_calls(context: Any) -> None:
+    async def scenario() -> None:
+        in_flight = InFlightMap(RetryAllowance)
+        context.dispatcher = FakeDispatcher()
+        entry = EntryService(
+            CLOCK,
+            make_tables(),
+            in_flight,
+            ResendLedger(CLOCK),
+            PressureKeeper(PRESSURE_VARIANTS.get("reported")(CLOCK)),
+            SIZE_CLASS_VARIANTS.get("learned")(),
+            context.dispatcher,
+            RetryAllowance,
+            NodeMetrics(),
+        )
+        context.parent = make_call("parent", deadline_ms=1_000.0, weight=777)
+        context_id = in_flight.add(context.parent, CLOCK.now_ms())
+
+        async def sub_call(key: str) -> Any:
+            headers = {"Marjoramstep-Service": "s", "Marjoramstep-Key": key}
+            headers["Marjoramstep-Context"] = context_id
+            request = parse_request("GET", "/x", headers, [], Body())
+            return await entry.execute(request)
+
+        context.first = await sub_call("first")
+        in_flight.remove(context_id)
+        context.second = await sub_call("second")
+
+    run(scenario())
+
+
+@then("the first is dispatched with the parent's weight and deadline")
+def step_dispatched(context: Any) -> None:
+    assert context.first.outcome is Outcome.DONE, context.first
+    (call,) = context.dispatcher.calls
+    assert (call.weight, call.depth) == (777, 1)
+    assert call.deadline_ms == context.parent.deadline_ms
+
+
+@then("the second is refused because its parent has ended and did not run")
+def step_parent_ended(context: Any) -> None:
+    assert context.second.outcome is Outcome.NOT_RUN, context.second
+    assert context.second.reply.reason is Reason.PARENT_ENDED
+    assert len(context.dispatcher.calls) == 1
--- /dev/null
+++ b/features/steps/daemon_malformed_input_steps.py
@@ -0,0 +1,183 @@
+"""Steps for malformed input at the listeners of real nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+from typing import Any
+
+from behave import then
+from behave import when
+from daemon_bench import Bench
+from daemon_bench import new_key
+from marjoramstep_core.ids import ZoneName
+from marjoramstep_core.states import ConnectionClass
+from marjoramstep_core.states import Role
+from marjoramstep_wire.codec import encode_frame
+from marjoramstep_wire.handshake import make_hello
+from marjoramstep_wire.messages import HelloProof
+
+
+ENTRY = "node-store-1"
+HEAD = b"POST /malformed HTTP/1.1\r\nHost: leaf\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+CALLER_INPUT = {
+    "an oversized head": HEAD + b"X: " + b"x" * 100_000 + b"\r\n\r\n",
+    "a body over the limit": HEAD + b"Content-Length: 3000000\r\n\r\n" + bytes(70_000),
+    "chunks over the limit": CHUNKED + (b"10000\r\n" + bytes(65_536) + b"\r\n") * 30,
+    "a negative length": HEAD + b"Content-Length: -5\r\n\r\n",
+    "a malformed chunk": CHUNKED + b"zz\r\nabc\r\n",
+    "a target with a host": b"GET http://leaf/x HTTP/1.1\r\nHost: leaf\r\n\r\n",
+    "garbage": bytes(range(256)) * 4 + b"\r\n\r\n",
+}
+
+
+async def _exchange(address: str, data: bytes) -> bytes:
+    """Send bytes and return what comes back until the end or a short silence."""
+    host, port = address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    received = b""
+    try:
+        writer.write(data)
+        while part := await asyncio.wait_for(reader.read(65_536), 3.0):
+            received += part
+    except (TimeoutError, OSError):
+        pass
+    finally:
+        writer.close()
+    return received
+
+
+@when("a raw caller sends {kind}")
+def step_caller(context: Any, kind: str) -> None:
+    bench: Bench = context.bench
+    context.received = bench.run(_exchange(bench.address(ENTRY), CALLER_INPUT[kind]))
+
+
+@then("that caller gets status {status:d} or the end of its connection")
+def step_status(context: Any, status: int) -> None:
+    line = context.received.split(b"\r\n")[0]
+    assert not line or line.split()[1] == str(status).encode(), line
+
+
+@then("other callers are served")
+def step_others(context: Any) -> None:
+    bench: Bench = context.bench
+    reply = bench.run(bench.call(ENTRY, "leaf", "/x", key=new_key()))
+    assert (reply.status, reply.outcome) == (200, "done"), reply
+    status = json.loads(
+        bench.run(bench.get_text(bench.address(ENTRY, "metrics_address"), "/status"))
+    )
+    assert status["requests_in_progress"] == 0, status
+
+
+@when("a raw caller stops in the middle of its body and leaves")
+def step_stops(context: Any) -> None:
+    bench: Bench = context.bench
+    context.key = new_key()
+
+    async def scenario() -> None:
+        host, port = bench.address(ENTRY).split(":")
+        _, writer = await asyncio.open_connection(host, int(port))
+        key = f"Marjoramstep-Key: {context.key}\r\n".encode()
+        writer.write(HEAD + key + b"Content-Length: 50\r\n\r\nhalf")
+        await asyncio.sleep(0.2)
+        writer.close()
+        await asyncio.sleep(0.2)
+
+    bench.run(scenario())
+
+
+@then("nothing of it has run")
+def step_nothing(context: Any) -> None:
+    assert context.bench.runs(context.key) == []
+
+
+def _announcement(context: Any, fault: str) -> bytes:
+    document: dict[str, Any] = {
+        "service": "store",
+        "address": "127.0.0.1:9",
+        "slots": 1,
+        "connections": 1,
+        "state": "ready",
+        "incarnation": 2**61,
+    }
+    changes: dict[str, dict[str, Any]] = {
+        "a service of bad text": {"service": "\ud800 store"},
+        "a port out of range": {"address": "127.0.0.1:70000"},
+        "an older incarnation": {"incarnation": 1},
+    }
+    texts = {
+        "no JSON": "{",
+        "a body over its limit": json.dumps({"x": "x" * 100_000}),
+        "deeply nested JSON": "[" * 50_000,
+    }
+    return texts.get(fault, json.dumps({**document, **changes.get(fault, {})})).encode()
+
+
+@when("an announcement is sent with {fault}")
+def step_announce(context: Any, fault: str) -> None:
+    bench: Bench = context.bench
+    address = bench.address(ENTRY, "announce_address")
+
+    async def scenario() -> int:
+        data = _announcement(context, fault)
+        async with bench.session.post(
+            f"http://{address}/announce", data=data
+        ) as answer:
+            return answer.status
+
+    context.status = bench.run(scenario())
+
+
+@then("the announcement is refused with a client error")
+def step_announce_refused(context: Any) -> None:
+    assert 400 <= context.status < 500, context.status
+
+
+@then("the announced backend server still serves")
+def step_serves(context: Any) -> None:
+    bench: Bench = context.bench
+
+    async def scenario() -> None:
+        # With a heartbeat in between, so that a poisoned registration would show.
+        await asyncio.sleep(0.3)
+        reply = await bench.call("node-mid-1", "store", "/x", key=new_key(), data=b"1")
+        assert (reply.status, reply.outcome) == (200, "done"), reply
+        address = bench.address(ENTRY, "metrics_address")
+        status = json.loads(await bench.get_text(address, "/status"))
+        assert (status["service"], status["server_state"]) == ("store", "ready"), status
+
+    bench.run(scenario())
+
+
+@when("a raw peer sends {frames} to a node's peer address")
+def step_frames(context: Any, frames: str) -> None:
+    bench: Bench = context.bench
+    hello = make_hello("x", Role.NODE, ZoneName("a"), 1, ConnectionClass.INTERACTIVE)
+    inputs = {
+        "garbage": b"GET / HTTP/1.1\r\nHost: x\r\n\r\n" * 20,
+        "an oversized frame": struct.pack("!IB", 1 << 30, 1) + bytes(100),
+        "an unknown message type": struct.pack("!IB", 5, 250) + bytes(4),
+        "a wrong proof": encode_frame(hello) + encode_frame(HelloProof(mac=bytes(32))),
+    }
+    context.logged = len(bench.log(ENTRY, "connection refused"))
+
+    async def scenario() -> None:
+        address = bench.address(ENTRY, "peer_address")
+        context.received = await asyncio.wait_for(
+            _exchange(address, inputs[frames]), 2.5
+        )
+        await bench.until(
+            lambda: len(bench.log(ENTRY, "connection refused")) > context.logged,
+            "the log line",
+        )
+
+    bench.run(scenario())
+
+
+@then("the node closes that connection and logs it")
+def step_closed(context: Any) -> None:
+    # The exchange ended before its silence limit, so the node closed the connection.
+    assert len(context.bench.log(ENTRY, "connection refused")) > context.logged
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -34,6 +34,8 @@
 KEEPALIVE_SECONDS = 75.0
 # A caller that stops sending its body in the middle holds a stream for no longer.
 BODY_SILENCE_SECONDS = 30.0
+# Time for handlers to end when the listener closes; aiohttp takes 0 for no limit.
+CLOSE_SECONDS = 0.2
 
 
 class BrokenBodyError(InvalidInputError):
@@ -91,7 +93,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        await self._server.shutdown(0.0)
+        await self._server.shutdown(CLOSE_SECONDS)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         try:
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link.py
@@ -214,6 +214,9 @@
                     return await asyncio.shield(stream.reply)
             except TimeoutError:
                 pass
+        if stream.reply.done():
+            # It came in the same moment in which the wait ended.
+            return stream.reply.result()
         return Failed(Reason.DEADLINE, "no reply before the deadline")
 
     def _send_cancel(self, connection: PeerConnection, stream_id: int) -> None:
