--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -32,6 +32,7 @@
 
 HEADER_SIZE_LIMIT_BYTES = 16_384
 KEEPALIVE_SECONDS = 75.0
+# Time for handlers to end when the listener closes; aiohttp takes 0 for no limit.
 SHUTDOWN_SECONDS = 1.0
 # A caller that stops sending its body in the middle holds a stream for no longer.
 BODY_SILENCE_SECONDS = 30.0
