Let the baseline without size classes use all slots for long calls

Cause: the setting size-classes turned off only the learned classes. Change: size-classes now selects the admission variant unlimited-long; with admission turned off as well, the variant stays fixed. Ruled out: the decision itself.

--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -187,7 +187,10 @@
         )
 
     def _admission(self) -> str:
-        return self._variant(decisions.ADMISSION, "adaptive", "fixed")
+        # Without size classes no slot is kept for short calls, whatever rows state.
+        # Otherwise rows that state ``long`` would still be limited in the baseline.
+        enabled = self._variant(decisions.SIZE_CLASSES, "adaptive", "unlimited-long")
+        return self._variant(decisions.ADMISSION, enabled, "fixed")
 
     def _allowance(self) -> str:
         return self._variant(decisions.RETRY_BOUND, "tokens", "per-hop")
