Measure the processor time of each node for a call

Cause: the latency tool gave latencies only, and a latency on a busy machine does not show what a node itself costs. Change: user and system time of each node over the calls that count, from /proc, divided by their number. Warm-up calls stay outside of both figures. Conclusion: the figure includes background work of the node during the run.

--- a/features/steps/replay_latency_steps.py
+++ b/features/steps/replay_latency_steps.py
@@ -50,6 +50,14 @@
     assert set(added) == {"p50_ms", "p99_ms"}, added
 
 
+@then('the latency figures hold the processor time of both nodes of "{kind}"')
+def step_processor(context: Any, kind: str) -> None:
+    found = context.latency_figures["processor_ms_per_call"]
+    assert set(found) == {f"{kind}, node-entry-1", f"{kind}, node-target-1"}, found
+    # The calls enter at this node and take many of the kernel's clock ticks.
+    assert found[f"{kind}, node-entry-1"]["low"] > 0, found
+
+
 @given(
     "latency run {number:d} with direct calls of {direct:d} ms and path calls of "
     "{path:d} ms"
--- a/packages/replay/src/marjoramstep_replay/latency.py
+++ b/packages/replay/src/marjoramstep_replay/latency.py
@@ -63,6 +63,19 @@
     daemon_command: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class LatencyRun:
+    """What one run measured.
+
+    :param latencies_ms: latencies by kind of call
+    :param processor_ms: processor time of each node over all calls that count, by kind
+        of call and name of the node; background work of the node is included
+    """
+
+    latencies_ms: dict[str, list[float]]
+    processor_ms: dict[str, float]
+
+
 def measure_latency(options: LatencyOptions) -> dict[str, Any]:
     """Measure, print and write the time that the path adds to a call.
 
@@ -81,7 +94,11 @@
     for number in range(1, options.runs + 1):
         sys.stderr.write(f"latency run {number} of {options.runs}\n")
         runs.append(uvloop.run(_run_with_limit(options)))
-    figures = summarize(runs)
+    figures = summarize([run.latencies_ms for run in runs])
+    figures["processor_ms_per_call"] = {
+        name: _spread([run.processor_ms[name] / options.calls for run in runs])
+        for name in runs[0].processor_ms
+    }
     document = {"calls_per_run": options.calls, "runs": options.runs, **figures}
     write_json(options.output, document)
     sys.stdout.write(figures_to_text(figures, options))
@@ -136,6 +153,11 @@
                 for figure, value in values.items()
             ]
             text += f"{title}{name}: {', '.join(parts)}\n"
+    for name, value in figures.get("processor_ms_per_call", {}).items():
+        text += (
+            f"processor time for each call, {name}: {value['median']:.3f} ms "
+            f"({value['low']:.3f} to {value['high']:.3f})\n"
+        )
     return text
 
 
@@ -172,7 +194,7 @@
     )
 
 
-async def _run_with_limit(options: LatencyOptions) -> dict[str, list[float]]:
+async def _run_with_limit(options: LatencyOptions) -> LatencyRun:
     try:
         async with asyncio.timeout(RUN_TIMEOUT_SECONDS):
             return await _run(options)
@@ -182,12 +204,12 @@
         ) from error
 
 
-async def _run(options: LatencyOptions) -> dict[str, list[float]]:
+async def _run(options: LatencyOptions) -> LatencyRun:
     sides: list[tuple[str, tuple[str, ...]]] = [(PATH, ())]
     if options.disabled:
         sides.append((PATH_WITHOUT_DECISIONS, options.disabled))
     deployment = _deployment(options.replicas)
-    clusters: list[Cluster] = []
+    clusters: dict[str, Cluster] = {}
     with tempfile.TemporaryDirectory(prefix="marjoramstep-latency-") as name:
         async with aiohttp.ClientSession() as session:
             try:
@@ -197,19 +219,31 @@
                     folder.mkdir()
                     command = options.daemon_command or default_daemon_command()
                     cluster = Cluster(deployment, folder, command, disabled, index)
-                    clusters.append(cluster)
+                    clusters[kind] = cluster
                     await _start(cluster, deployment, session)
                     entry = f"node-{ENTRY_SERVICE}-1"
                     urls[kind] = cluster.address(entry, "caller_address")
                 server = f"{TARGET_SERVICE}-1"
-                urls[DIRECT] = clusters[0].address(server, "request_address")
-                latencies = await _alternate(session, urls, options.calls)
-                for cluster in clusters:
+                urls[DIRECT] = clusters[PATH].address(server, "request_address")
+                await _alternate(session, urls, WARM_UP_CALLS)
+                before_ms = _processor_ms(clusters)
+                latencies_ms = await _alternate(session, urls, options.calls)
+                after_ms = _processor_ms(clusters)
+                for cluster in clusters.values():
                     await cluster.end()
-                return latencies
             finally:
-                for cluster in clusters:
+                for cluster in clusters.values():
                     cluster.kill()
+    used_ms = {name: after_ms[name] - before_ms[name] for name in after_ms}
+    return LatencyRun(latencies_ms, used_ms)
+
+
+def _processor_ms(clusters: Mapping[str, Cluster]) -> dict[str, float]:
+    return {
+        f"{kind}, {name}": cluster.processes[name].processor_ms()
+        for kind, cluster in clusters.items()
+        for name in cluster.entry_nodes()
+    }
 
 
 async def _start(
@@ -228,13 +262,11 @@
     session: aiohttp.ClientSession, addresses: Mapping[str, str], calls: int
 ) -> dict[str, list[float]]:
     latencies: dict[str, list[float]] = {kind: [] for kind in (DIRECT, *addresses)}
-    for number in range(WARM_UP_CALLS + calls):
+    for number in range(calls):
         # The order changes, so that no kind always follows the same other one.
         kinds = list(latencies) if number % 2 else list(latencies)[::-1]
         for kind in kinds:
-            latency_ms = await _call(session, addresses[kind], kind)
-            if number >= WARM_UP_CALLS:
-                latencies[kind].append(latency_ms)
+            latencies[kind].append(await _call(session, addresses[kind], kind))
     return latencies
 
 
--- a/packages/replay/src/marjoramstep_replay/launch/process.py
+++ b/packages/replay/src/marjoramstep_replay/launch/process.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import json
+import os
 import re
 import signal
 import subprocess
 import time
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import UnavailableError
@@ -15,12 +17,14 @@
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
-    from pathlib import Path
 
 START_LIMIT_SECONDS = 60.0
 POLL_SECONDS = 0.02
 LOG_TAIL_CHARACTERS = 2000
 LISTENING = "listening"
+# Places in /proc/PID/stat after the command's name; see proc(5).
+USER_TIME_FIELD = 11
+SYSTEM_TIME_FIELD = 12
 ADDRESS_SUFFIX = "_address"
 ADDRESS_PATTERN = re.compile(r"[0-9a-f.:\[\]]+:[0-9]{1,5}")
 
@@ -54,6 +58,23 @@
         """Exit status; None while the process runs or before its start."""
         return None if self._process is None else self._process.poll()
 
+    def processor_ms(self) -> float:
+        """Return the processor time that the running process has used.
+
+        :return: user and system time of all threads in milliseconds, in steps of the
+            kernel's clock tick
+        :raises UnavailableError: if the process does not run
+        """
+        if self._process is None or not self.is_running:
+            raise UnavailableError(
+                "the process does not run", step="read processor time", peer=self.name
+            )
+        text = Path(f"/proc/{self._process.pid}/stat").read_text("utf-8")
+        # The name of the command, in parentheses, may hold spaces.
+        fields = text.rpartition(")")[2].split()
+        ticks = int(fields[USER_TIME_FIELD]) + int(fields[SYSTEM_TIME_FIELD])
+        return ticks * 1000.0 / os.sysconf("SC_CLK_TCK")
+
     def start(self, command: Sequence[str] | None = None) -> None:
         """Start the process; only one that does not run can be started.
 
