Write the fake daemon's member files in one step

Cause: a fake node truncated its member file at each announcement. Change: the file is renamed into place.

--- a/features/steps/replay_fake_daemon.py
+++ b/features/steps/replay_fake_daemon.py
@@ -34,7 +34,10 @@
         """Note the announced backend server where all fake nodes look."""
         document = await request.json()
         path = self._folder / f"{document['service']}@{self._name}.member"
-        path.write_text(document["address"])
+        # Renamed into place, because other fake nodes may read at any time.
+        draft = path.with_suffix(".draft")
+        draft.write_text(document["address"])
+        draft.replace(path)
         return web.Response()
 
     async def call(self, request: web.BaseRequest) -> web.Response:
