Find the leader by trying each replica when the demo fills its table

Cause: replicas answer 421 with the leader's peer address where an operator address is expected, and the table setup went back and forth between it and the first replica. Conclusion: the demo does not depend on which replica leads.

--- a/packages/replay/src/marjoramstep_replay/launch/table_setup.py
+++ b/packages/replay/src/marjoramstep_replay/launch/table_setup.py
@@ -64,7 +64,10 @@
                     peer=address,
                 )
             problem = f"{address} answered status {status}: {answer}"
-            address = answer.get("leader_address") or self._next(address)
+            # An address that is not one of the replicas' operator addresses is not
+            # followed; trying the replicas in turn finds the leader too.
+            leader = answer.get("leader_address")
+            address = leader if leader in self._addresses else self._next(address)
             await asyncio.sleep(PAUSE_SECONDS)
         raise UnavailableError(problem, step="fill table", peer=address)
 
