--- a/packages/replay/src/marjoramstep_replay/demo/guide.py
+++ b/packages/replay/src/marjoramstep_replay/demo/guide.py
@@ -78,8 +78,8 @@
             f"  {request}",
             f"  marjoramstep table set {UPLOAD_ROW} {RESTORED_CELL}",
             "  marjoramstep audit list",
-            "The first request gets status 200 and Marjoramstep-Outcome: done, the same",
-            "request after the edit gets 413 and Marjoramstep-Outcome: not-run, because",
-            "the edit makes the body limit of its row one byte too small.",
+            "The first request gets 200 and Marjoramstep-Outcome: done, the same one",
+            "after the edit gets 413 and Marjoramstep-Outcome: not-run, because the",
+            "edit makes the body limit of its row one byte too small.",
         ]
     )
