--- a/features/daemon/requests.feature
+++ b/features/daemon/requests.feature
@@ -56,7 +56,7 @@
 
   Scenario Outline: Malformed input of callers
     When a raw caller sends <input>
-    Then that caller gets status <status> or the end of its connection
+    Then that caller gets status <status> or its connection ends, and a trace is left
     And other callers are served
 
     Examples:
--- a/features/steps/daemon_malformed_input_steps.py
+++ b/features/steps/daemon_malformed_input_steps.py
@@ -22,7 +22,8 @@
 ENTRY = "node-store-1"
 LIMIT_SECONDS = 5.0
 SILENCE_SECONDS = 0.2
-HEAD = b"POST /malformed HTTP/1.1\r\nHost: leaf\r\n"
+KEYED = f"Host: leaf\r\nMarjoramstep-Key: {new_key()}\r\n".encode()
+HEAD = b"POST /malformed HTTP/1.1\r\n" + KEYED
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 CALLER_INPUT = {
     "an oversized head": HEAD + b"X: " + b"x" * 100_000 + b"\r\n\r\n",
@@ -30,7 +31,7 @@
     "chunks over the limit": CHUNKED + (b"10000\r\n" + bytes(65_536) + b"\r\n") * 30,
     "a negative length": HEAD + b"Content-Length: -5\r\n\r\n",
     "a malformed chunk": CHUNKED + b"zz\r\nabc\r\n",
-    "a target with a host": b"GET http://leaf/x HTTP/1.1\r\nHost: leaf\r\n\r\n",
+    "a target with a host": b"GET http://leaf/x HTTP/1.1\r\n" + KEYED + b"\r\n",
     "garbage": bytes(range(256)) * 4 + b"\r\n\r\n",
 }
 
@@ -62,16 +63,29 @@
     return received
 
 
+async def _events(bench: Bench) -> float:
+    """Return how many refusals the node has logged or counted."""
+    kinds = ("malformed request", "request refused")
+    logged = sum(len(bench.log(ENTRY, kind)) for kind in kinds)
+    reasons = ("body-too-large", "cancelled", "bad-request")
+    return logged + sum(
+        [await bench.counter(ENTRY, "replies_total", reason) for reason in reasons]
+    )
+
+
 @when("a raw caller sends {kind}")
 def step_caller(context: Any, kind: str) -> None:
     bench: Bench = context.bench
+    context.events = bench.run(_events(bench))
     context.received = bench.run(_exchange(bench.address(ENTRY), CALLER_INPUT[kind]))
 
 
-@then("that caller gets status {status:d} or the end of its connection")
+@then("that caller gets status {status:d} or its connection ends, and a trace is left")
 def step_status(context: Any, status: int) -> None:
     line = context.received.split(b"\r\n")[0]
     assert not line or line.split()[1] == str(status).encode(), line
+    bench: Bench = context.bench
+    assert bench.run(_events(bench)) > context.events, "neither logged nor counted"
 
 
 @then("other callers are served")
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from itertools import count
 from typing import TYPE_CHECKING
 
@@ -31,6 +32,7 @@
     from .entry import EntryService
 
 HEADER_SIZE_LIMIT_BYTES = 16_384
+LOGGED_ERROR_CHARACTERS = 200
 KEEPALIVE_SECONDS = 75.0
 # A caller that stops sending its body in the middle holds a stream for no longer.
 BODY_SILENCE_SECONDS = 30.0
@@ -58,6 +60,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            logger=_make_logger(log),
             keepalive_timeout=KEEPALIVE_SECONDS,
             max_line_size=HEADER_SIZE_LIMIT_BYTES,
             max_field_size=HEADER_SIZE_LIMIT_BYTES,
@@ -172,6 +175,28 @@
         )
 
 
+class _LogHandler(logging.Handler):
+    """Writes what aiohttp reports about a connection as an event."""
+
+    def __init__(self, log: EventLog) -> None:
+        super().__init__(logging.DEBUG)
+        self._log = log
+
+    def emit(self, record: logging.LogRecord) -> None:
+        error = record.exc_info[1] if record.exc_info else None
+        text = record.getMessage()
+        if error is not None:
+            text += f": {str(error)[:LOGGED_ERROR_CHARACTERS]}"
+        self._log.write("malformed request", step="http", peer="caller", error=text)
+
+
+def _make_logger(log: EventLog) -> logging.Logger:
+    # Not registered by name: each listener writes to the log of its own process.
+    logger = logging.Logger("callers")
+    logger.addHandler(_LogHandler(log))
+    return logger
+
+
 async def _read_body(request: web.BaseRequest) -> Body:
     if not request.body_exists:
         return Body()
