--- a/features/daemon/caller_listener.feature
+++ b/features/daemon/silent_callers.feature
@@ -1,4 +1,4 @@
-Feature: The listener towards callers
+Feature: Callers that stop in the middle of their bodies
   Guards against callers that send their body slowly or stop in the middle: they must
   neither hold a request for ever nor have a part of their body taken for the whole.
 
