--- a/features/steps/daemon_malformed_input_steps.py
+++ b/features/steps/daemon_malformed_input_steps.py
@@ -20,7 +20,10 @@
 
 
 ENTRY = "node-store-1"
-HEAD = b"POST /malformed HTTP/1.1\r\nHost: leaf\r\n"
+LIMIT_SECONDS = 5.0
+SILENCE_SECONDS = 0.2
+KEYED = f"Host: leaf\r\nMarjoramstep-Key: {new_key()}\r\n".encode()
+HEAD = b"POST /malformed HTTP/1.1\r\n" + KEYED
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 CALLER_INPUT = {
     "an oversized head": HEAD + b"X: " + b"x" * 100_000 + b"\r\n\r\n",
@@ -28,37 +31,61 @@
     "chunks over the limit": CHUNKED + (b"10000\r\n" + bytes(65_536) + b"\r\n") * 30,
     "a negative length": HEAD + b"Content-Length: -5\r\n\r\n",
     "a malformed chunk": CHUNKED + b"zz\r\nabc\r\n",
-    "a target with a host": b"GET http://leaf/x HTTP/1.1\r\nHost: leaf\r\n\r\n",
+    "a target with a host": b"GET http://leaf/x HTTP/1.1\r\n" + KEYED + b"\r\n",
     "garbage": bytes(range(256)) * 4 + b"\r\n\r\n",
 }
 
 
-async def _exchange(address: str, data: bytes) -> bytes:
-    """Send bytes and return what comes back until the end or a short silence."""
+async def _exchange(address: str, data: bytes, *, to_end: bool = False) -> bytes:
+    """Send bytes and return what comes back, up to a silence or the end.
+
+    :param to_end: wait for the end of the connection, and fail without one
+    """
     host, port = address.split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     received = b""
     try:
         writer.write(data)
-        while part := await asyncio.wait_for(reader.read(65_536), 3.0):
+        while True:
+            # A silence counts only after the first bytes of an answer.
+            limit = LIMIT_SECONDS if to_end or not received else SILENCE_SECONDS
+            part = await asyncio.wait_for(reader.read(65_536), limit)
+            if not part:
+                break
             received += part
-    except (TimeoutError, OSError):
+    except TimeoutError:
+        assert not to_end, "the connection was not closed"
+        assert received, "neither an answer nor the end of the connection"
+    except OSError:
         pass
     finally:
         writer.close()
     return received
 
 
+async def _events(bench: Bench) -> float:
+    """Return how many refusals the node has logged or counted."""
+    kinds = ("malformed request", "request refused")
+    logged = sum(len(bench.log(ENTRY, kind)) for kind in kinds)
+    reasons = ("body-too-large", "cancelled", "bad-request")
+    return logged + sum(
+        [await bench.counter(ENTRY, "replies_total", reason) for reason in reasons]
+    )
+
+
 @when("a raw caller sends {kind}")
 def step_caller(context: Any, kind: str) -> None:
     bench: Bench = context.bench
+    context.events = bench.run(_events(bench))
     context.received = bench.run(_exchange(bench.address(ENTRY), CALLER_INPUT[kind]))
 
 
-@then("that caller gets status {status:d} or the end of its connection")
+@then("that caller gets status {status:d} or its connection ends, and a trace is left")
 def step_status(context: Any, status: int) -> None:
     line = context.received.split(b"\r\n")[0]
     assert not line or line.split()[1] == str(status).encode(), line
+    bench: Bench = context.bench
+    assert bench.run(_events(bench)) > context.events, "neither logged nor counted"
 
 
 @then("other callers are served")
@@ -166,9 +193,7 @@
 
     async def scenario() -> None:
         address = bench.address(ENTRY, "peer_address")
-        context.received = await asyncio.wait_for(
-            _exchange(address, inputs[frames]), 2.5
-        )
+        context.received = await _exchange(address, inputs[frames], to_end=True)
         await bench.until(
             lambda: len(bench.log(ENTRY, "connection refused")) > context.logged,
             "the log line",
@@ -179,5 +204,4 @@
 
 @then("the node closes that connection and logs it")
 def step_closed(context: Any) -> None:
-    # The exchange ended before its silence limit, so the node closed the connection.
     assert len(context.bench.log(ENTRY, "connection refused")) > context.logged
