--- a/features/support/control_world.py
+++ b/features/support/control_world.py
@@ -83,7 +83,8 @@
                 self._pump(reader, other_writer, answers=False),
                 self._pump(other_reader, writer, answers=True),
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # Cancelled only by close, after the scenario.
             pass
         finally:
             writer.close()
--- a/packages/daemon/src/marjoramstep_daemon/control/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/link.py
@@ -65,6 +65,13 @@
         """Whether messages can be sent."""
         return self._connection is not None and self._connection.is_open
 
+    @property
+    def peer_id(self) -> str:
+        """Id that the other side proved, empty without a connection."""
+        if self._connection is None or not self._connection.is_open:
+            return ""
+        return self._connection.peer_hello.process_id
+
     def reaches(self, replica_id: ReplicaId) -> bool:
         """Tell whether the other side may be the replica of this id.
 
@@ -75,8 +82,8 @@
         """
         if self._connection is None or not self._connection.is_open:
             return False
-        hello = self._connection.peer_hello
-        return hello.role != Role.CONTROL.value or hello.process_id == replica_id
+        is_node = self._connection.peer_hello.role != Role.CONTROL.value
+        return is_node or self.peer_id == replica_id
 
     def send(self, message: Message) -> None:
         """Send a message.
--- a/packages/daemon/src/marjoramstep_daemon/control/quorum_contact.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/quorum_contact.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from typing import TYPE_CHECKING
 
 from marjoramstep_wire.messages import AppendReply
@@ -32,6 +33,7 @@
         self._heard_ms: dict[ReplicaId, float] = {}
         self._leader_contact_ms = float("-inf")
         self._first_index = 0
+        self._commits: deque[tuple[float, int]] = deque()
 
     @property
     def is_leader(self) -> bool:
@@ -60,6 +62,21 @@
         heard = {peer for peer, at_ms in self._heard_ms.items() if at_ms >= oldest_ms}
         return {self._core.replica_id, *heard}
 
+    def synced_index(self) -> int:
+        """Return the index that a member which keeps up must hold.
+
+        Under load each member is always some entries behind the commit index, so the
+        commit index of an election time-out ago counts.
+
+        :return: a commit index of this leadership
+        """
+        before_ms = self._clock.now_ms() - self._timing.election_min_ms
+        while len(self._commits) > 1 and self._commits[1][0] <= before_ms:
+            self._commits.popleft()
+        if self._commits and self._commits[0][0] <= before_ms:
+            return self._commits[0][1]
+        return self._core.commit_index
+
     def confirmed_age_ms(self) -> float:
         """Return how long ago a quorum was known to be in touch.
 
@@ -87,6 +104,7 @@
         """
         if isinstance(message, AppendReply | SnapshotReply):
             self._heard_ms[sender] = self._clock.now_ms()
+            self._note_commit_index()
         elif (
             isinstance(message, AppendRequest)
             and message.term == self._core.term
@@ -98,4 +116,14 @@
     def on_role(self) -> None:
         """Take note that role, term or leader changed."""
         self._heard_ms.clear()
+        self._commits.clear()
         self._first_index = self._core.last_index
+
+    def _note_commit_index(self) -> None:
+        now_ms = self._clock.now_ms()
+        if self._commits and now_ms - self._commits[-1][0] < self._timing.heartbeat_ms:
+            return
+        self._commits.append((now_ms, self._core.commit_index))
+        oldest_ms = now_ms - 2 * self._timing.election_max_ms
+        while self._commits[0][0] < oldest_ms:
+            self._commits.popleft()
--- a/packages/daemon/src/marjoramstep_daemon/control/replica_links.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica_links.py
@@ -59,14 +59,10 @@
         :param core: knows the addresses of members and of those that ask to join
         """
         known = {**core.waiting_replicas, **core.membership.members}
-        address_text = known.get(receiver)
-        if not address_text:
-            return
-        host, _, port = address_text.rpartition(":")
-        link = self._link((host, int(port)))
+        link = self._find(receiver, known.get(receiver, ""))
         # A replica whose data folder was emptied has a new id at the old address; what
         # is meant for the old id must not reach it.
-        if link.reaches(receiver):
+        if link is not None and link.reaches(receiver):
             self._try_send(link, message)
 
     def broadcast(self, message: Message) -> None:
@@ -85,6 +81,17 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _find(self, receiver: ReplicaId, address_text: str) -> ControlLink | None:
+        if address_text:
+            host, _, port = address_text.rpartition(":")
+            return self._link((host, int(port)))
+        # A replica that is being admitted knows no members until it has caught up, and
+        # must answer the leader before that.
+        for link in self._links.values():
+            if link.peer_id == receiver:
+                return link
+        return None
+
     def _link(self, address: Address) -> ControlLink:
         link = self._links.get(address)
         if link is None:
--- a/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
+++ b/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
@@ -277,6 +277,7 @@
     """
     core = replica.core
     in_touch = replica.contact.in_touch()
+    synced_index = replica.contact.synced_index()
     membership = core.membership
     match_indexes = core.match_indexes()
     replicas = []
@@ -286,7 +287,7 @@
         is_synced = (
             replica_id in in_touch
             and match_index is not None
-            and match_index >= core.commit_index
+            and match_index >= synced_index
         )
         is_voter = replica_id in membership.voters
         synced_voters += is_synced and is_voter
