--- a/packages/consensus/src/marjoramstep_consensus/data_folder.py
+++ b/packages/consensus/src/marjoramstep_consensus/data_folder.py
@@ -164,16 +164,22 @@
                 self._files.sync(LOG_NAME)
         self.truncated_bytes = len(data) - end
         self._log_bytes, self._log_records = end, len(records)
-        entries = merge_entries(
-            records, snapshot.last_index, snapshot.last_term, self._label
-        )
-        return StoredState(records[-1].term, records[-1].voted_for, snapshot, entries)
+        index, term = snapshot.last_index, snapshot.last_term
+        entries = merge_entries(records, index, term, self._label)
+        last = records[-1]
+        if any(entry.index <= index for r in records for entry in r.entries):
+            # A crash came between storing the snapshot and the log that goes with it.
+            # Appending to the old log would leave a gap.
+            with self._errors("compact log"):
+                self._replace_log(Record(last.term, last.voted_for, entries))
+        return StoredState(last.term, last.voted_for, snapshot, entries)
 
     def persist(self, write: Persist) -> None:
         """Make a write durable.
 
-        After a :class:`DiskFullError` the same write may be tried again. After any
-        other error the folder must be opened anew.
+        After an error nothing of the write counts as stored. When the failed part could
+        be taken back, as usual on a full disk, the same write may be tried again.
+        Otherwise each further call raises until the folder is opened anew.
 
         :param write: the effect
         :raises DiskFullError: if the disk is full
@@ -230,10 +236,12 @@
                 kept = (*old, record)
             index, term = snapshot.last_index, snapshot.last_term
             entries = merge_entries(kept, index, term, self._label)
-            compacted = Record(record.term, record.voted_for, entries)
-            data = encode_record(0, compacted)
             self._write_durably(SNAPSHOT_NAME, self._encode_snapshot(snapshot))
-            self._write_durably(LOG_NAME, data)
+            self._replace_log(Record(record.term, record.voted_for, entries))
+
+    def _replace_log(self, record: Record) -> None:
+        data = encode_record(0, record)
+        self._write_durably(LOG_NAME, data)
         self._log_bytes, self._log_records = len(data), 1
 
     def _write_durably(self, name: str, data: bytes) -> None:
--- a/packages/consensus/src/marjoramstep_consensus/file_layer.py
+++ b/packages/consensus/src/marjoramstep_consensus/file_layer.py
@@ -21,7 +21,10 @@
     """
 
     def lock(self, name: str) -> None:
-        """Take an exclusive lock, held until ``close``, or raise BlockingIOError."""
+        """Create the folder if needed and lock it until ``close``.
+
+        :raises BlockingIOError: if another process holds the lock
+        """
 
     def names(self) -> list[str]:
         """Return the names of all files."""
@@ -57,14 +60,13 @@
 class OsFileLayer:
     """Files of a folder on a local disk.
 
-    :param folder: path of the folder, created if it does not exist
+    :param folder: path of the folder; ``lock`` creates it if it does not exist
     """
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._handles: dict[str, int] = {}
         self._lock_handle: int | None = None
-        folder.mkdir(parents=True, exist_ok=True)
 
     def lock(self, name: str) -> None:
         """Take an exclusive lock on a file.
@@ -72,6 +74,9 @@
         :param name: name of the lock file
         :raises BlockingIOError: if another process holds it
         """
+        if not self._folder.is_dir():
+            self._folder.mkdir(parents=True)
+            _sync_folder(self._folder.parent)
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC
         handle = os.open(self._folder / name, flags, 0o600)
         try:
@@ -153,11 +158,7 @@
 
     def sync_folder(self) -> None:
         """Make created, renamed and removed names durable."""
-        handle = os.open(self._folder, os.O_RDONLY | os.O_CLOEXEC)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
+        _sync_folder(self._folder)
 
     def close(self) -> None:
         """Close open files and give up the lock."""
@@ -177,3 +178,11 @@
         handle = self._handles.pop(name, None)
         if handle is not None:
             os.close(handle)
+
+
+def _sync_folder(folder: Path) -> None:
+    handle = os.open(folder, os.O_RDONLY | os.O_CLOEXEC)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
--- a/packages/consensus/src/marjoramstep_consensus/following.py
+++ b/packages/consensus/src/marjoramstep_consensus/following.py
@@ -66,6 +66,14 @@
         self._merge(entries)
         match = previous + len(entries)
         state.advance_commit(min(request.commit_index, match))
+        outbox = state.outbox
+        if not entries and outbox.synced_term == state.term:
+            # A heartbeat is answered during a slow write, or the leader would step
+            # down. The answer claims only what is durable already.
+            durable = min(match, outbox.synced_index)
+            reply = self._append_reply(request, success=True, match=durable, hint=0)
+            outbox.send(ReplicaId(request.leader_id), reply)
+            return
         self._reply_append(request, success=True, match=match, hint=match)
 
     def receive_snapshot(self, part: SnapshotPart) -> None:
@@ -167,16 +175,20 @@
     def _reply_append(
         self, request: AppendRequest, *, success: bool, match: int, hint: int
     ) -> None:
-        state = self._state
-        reply = AppendReply(
-            term=state.term,
-            follower_id=state.replica_id,
+        reply = self._append_reply(request, success=success, match=match, hint=hint)
+        self._state.outbox.promise(ReplicaId(request.leader_id), reply)
+
+    def _append_reply(
+        self, request: AppendRequest, *, success: bool, match: int, hint: int
+    ) -> AppendReply:
+        return AppendReply(
+            term=self._state.term,
+            follower_id=self._state.replica_id,
             success=success,
             match_index=match,
             hint_index=hint,
             round_id=request.round_id,
         )
-        state.outbox.promise(ReplicaId(request.leader_id), reply)
 
     def _reply_snapshot(
         self, part: SnapshotPart, *, offset: int, accepted: bool
--- a/packages/consensus/src/marjoramstep_consensus/leadership.py
+++ b/packages/consensus/src/marjoramstep_consensus/leadership.py
@@ -144,10 +144,9 @@
         self._record_round(progress, reply.round_id)
         if reply.success:
             progress.record_match(reply.match_index)
-            if progress.match_index >= progress.snapshot_index:
-                progress.snapshot_index = progress.snapshot_offset_bytes = 0
-        else:
-            progress.record_mismatch(reply.hint_index)
+        elif not progress.record_mismatch(reply.hint_index):
+            # The next heartbeat tries again; an answer at once could repeat for ever.
+            return
         self.advance()
         self._promote_if_caught_up(peer, progress)
         self._send_to(peer, progress)
@@ -159,21 +158,20 @@
         """
         peer = ReplicaId(reply.follower_id)
         progress = self._peers.get(peer)
-        if progress is None or reply.last_index != progress.snapshot_index:
+        snapshot = progress.snapshot if progress is not None else None
+        if progress is None or snapshot is None:
+            return
+        size = len(snapshot.data)
+        if reply.last_index != snapshot.last_index:
             return
-        size = len(self._state.log.snapshot.data)
         if not reply.accepted or not 0 <= reply.offset_bytes <= size:
             return
         progress.sent_last_index = 0
         progress.snapshot_offset_bytes = reply.offset_bytes
-        if reply.offset_bytes == size and self._snapshot_is_complete(reply):
-            progress.end_snapshot()
+        if reply.offset_bytes == size:
             progress.record_match(reply.last_index)
         self._send_to(peer, progress)
 
-    def _snapshot_is_complete(self, reply: SnapshotReply) -> bool:
-        return reply.last_index == self._state.log.snapshot.last_index
-
     def advance(self) -> None:
         """Commit what a quorum has stored, and release reads."""
         state = self._state
--- a/packages/consensus/src/marjoramstep_consensus/replica_log.py
+++ b/packages/consensus/src/marjoramstep_consensus/replica_log.py
@@ -73,11 +73,9 @@
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry.
 
-        :param index: index of the entry; 0 is before the first one
-        :return: the term, or None when the entry is not in memory
+        :param index: index of the entry; 0 is before the first one and has term 0
+        :return: the term, or None when it is not in memory
         """
-        if index == 0:
-            return 0
         if index == self._base_index:
             return self._base_term
         if self._base_index < index <= self.last_index:
--- a/packages/consensus/src/marjoramstep_consensus/sender.py
+++ b/packages/consensus/src/marjoramstep_consensus/sender.py
@@ -88,10 +88,10 @@
 
     def _send_part(self, peer: ReplicaId, progress: Progress) -> None:
         state = self._state
-        snapshot = state.log.snapshot
-        if progress.snapshot_index != snapshot.last_index:
+        if progress.snapshot is None:
             progress.end_snapshot()
-            progress.snapshot_index = snapshot.last_index
+            progress.snapshot = state.log.snapshot
+        snapshot = progress.snapshot
         offset = progress.snapshot_offset_bytes
         end = offset + state.limits.part_bytes
         progress.sent_last_index = snapshot.last_index
