--- /dev/null
+++ b/features/steps/control_operators_steps.py
@@ -0,0 +1,230 @@
+"""Steps for operators at the replicas."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_replay.measure.control_cluster import make_edit
+from marjoramstep_replay.measure.control_cluster import set_cell
+from support.control_world import ControlWorld
+from support.control_world import Relay
+from support.control_world import wait_until
+
+
+EDITS = {"ana": ("ana-edit", 2_001), "luis": ("luis-edit", 2_002)}
+PATHS = (
+    ("GET", "/v1/table"),
+    ("GET", "/v1/audit"),
+    ("GET", "/v1/replicas"),
+    ("GET", "/v1/members"),
+    ("GET", "/v1/quarantine"),
+    ("GET", "/v1/status"),
+    ("GET", "/v1/edits/some-edit"),
+    ("POST", "/v1/edits"),
+    ("POST", "/v1/replicas/replica-1/remove"),
+    ("GET", "/v1/unknown"),
+)
+UNAUTHORIZED = 401
+
+
+@given("a control cluster of 1 replica")
+def step_single(context: Any) -> None:
+    context.world = world = ControlWorld()
+    context.stack.callback(world.close)
+    world.run(world.start(1))
+    context.cluster = world.cluster
+
+
+def _edit_of(operator: str) -> dict[str, Any]:
+    key, value = EDITS[operator]
+    return make_edit(key, 1, [set_cell(value)])
+
+
+@when("two operators edit the same version while a relay swallows their answers")
+def step_lost_answers(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        leader = await cluster.wait_for_leader()
+        relays = []
+        for operator in EDITS:
+            relay = Relay(cluster.processes[leader].addresses["operator"])
+            await relay.start()
+            relay.swallows_answers = True
+            context.world.relays[operator, leader] = relay
+            relays.append(relay)
+        requests = [
+            asyncio.create_task(
+                cluster.request(
+                    leader,
+                    "POST",
+                    "/v1/edits",
+                    _edit_of(operator),
+                    operator,
+                    relay.address,
+                )
+            )
+            for operator, relay in zip(EDITS, relays, strict=True)
+        ]
+
+        async def both_lost() -> bool:
+            return all(relay.held_bytes for relay in relays)
+
+        await wait_until(both_lost, "both answers are swallowed")
+        assert not any(task.done() for task in requests)
+        for task in requests:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+
+    context.world.run(run())
+
+
+async def _resend(context: Any) -> dict[str, Any]:
+    cluster = context.cluster
+    verdicts = {}
+    for operator in EDITS:
+        verdicts[operator] = await cluster.ask(
+            "POST", "/v1/edits", _edit_of(operator), operator
+        )
+    return verdicts
+
+
+@when("both operators resend their edits to every replica")
+def step_resend_all(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        await asyncio.gather(
+            *(
+                cluster.request(name, "POST", "/v1/edits", _edit_of(op), op)
+                for name in cluster.names
+                for op in EDITS
+            )
+        )
+        context.first = await _resend(context)
+
+    context.world.run(run())
+
+
+@then("one edit was accepted and the other one is told who won")
+def step_one_winner(context: Any) -> None:
+    by_status = {
+        status: (operator, verdict)
+        for operator, (status, verdict) in context.first.items()
+    }
+    assert sorted(by_status) == [200, 409], context.first
+    winner, accepted = by_status[200]
+    context.winner = winner
+    assert accepted["version"] == 2, accepted
+    found = by_status[409][1]["winner"]
+    assert found["operator"] == winner, found
+    assert found["edit_key"] == EDITS[winner][0], found
+    assert found["version"] == 2, found
+
+
+@when("the leading replica is lost and both operators resend their edits")
+def step_resend_after_loss(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        leader = await cluster.wait_for_leader()
+        cluster.processes[leader].kill()
+        assert cluster.processes[leader].status == -signal.SIGKILL
+        assert await cluster.wait_for_leader(leader) != leader
+        context.again = await _resend(context)
+
+    context.world.run(run())
+
+
+@when("all replicas are started again and both operators resend their edits")
+def step_resend_after_restart(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        for name in cluster.names:
+            cluster.processes[name].kill()
+            assert not cluster.processes[name].is_running
+        await asyncio.gather(*map(cluster.restart, cluster.names))
+        context.again = await _resend(context)
+
+    context.world.run(run())
+
+
+@then("both operators get their first verdicts again")
+def step_same_verdicts(context: Any) -> None:
+    assert context.again == context.first, (context.again, context.first)
+
+
+@then("the table of the control cluster was changed once")
+def step_changed_once(context: Any) -> None:
+    _, table = context.world.run(context.cluster.ask("GET", "/v1/table"))
+    assert table["version"] == 2, table["version"]
+    assert table["rows"][0]["deadline_ms"] == EDITS[context.winner][1], table
+
+
+@when(
+    "requests with no token and with a wrong token are sent to every path of the"
+    " replica"
+)
+def step_bad_tokens(context: Any) -> None:
+    async def run() -> None:
+        edit = make_edit("intruder", 1, [set_cell(1)])
+        context.statuses = {}
+        for token in ("", "wrong-token"):
+            for method, path in PATHS:
+                document = edit if method == "POST" else None
+                status, _ = await context.cluster.request(
+                    "replica-1", method, path, document, token
+                )
+                context.statuses[token, method, path] = status
+
+    context.world.run(run())
+
+
+@then("each of the requests is refused with status 401 and nothing was changed")
+def step_all_refused(context: Any) -> None:
+    wrong = {k: s for k, s in context.statuses.items() if s != UNAUTHORIZED}
+    assert not wrong, wrong
+    _assert_unchanged(context)
+
+
+def _assert_unchanged(context: Any) -> None:
+    _, table = context.world.run(context.cluster.ask("GET", "/v1/table"))
+    assert table["version"] == 1, table
+    _, audit = context.world.run(context.cluster.ask("GET", "/v1/audit"))
+    assert audit["entries"] == [], audit
+
+
+@when("an operator sends an edit with a valid token to every address of a node")
+def step_edit_at_node(context: Any) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        node = await cluster.start_node("node-a")
+
+        async def has_table() -> bool:
+            return await cluster.node_version("node-a") == 1
+
+        await wait_until(has_table, "the node has the table")
+        edit = make_edit("at-node", 1, [set_cell(1)])
+        context.answers = {}
+        for kind in ("caller", "announce", "metrics"):
+            address = node.addresses[kind]
+            for method, path in PATHS:
+                document = edit if method == "POST" else None
+                context.answers[kind, method, path] = await cluster.request(
+                    "", method, path, document, address=address
+                )
+
+    context.world.run(run())
+
+
+@then("no address of the node takes it and nothing was changed")
+def step_not_taken(context: Any) -> None:
+    assert len(context.answers) == 3 * len(PATHS)
+    for where, (status, document) in context.answers.items():
+        assert not 200 <= status < 300, (where, status, document)
+        assert "verdict" not in document, (where, document)
+    _assert_unchanged(context)
--- /dev/null
+++ b/features/support/control_failing_disk.py
@@ -0,0 +1,29 @@
+"""Runs the daemon on a file layer that fails while a trigger file exists."""
+
+from __future__ import annotations
+
+import errno
+import os
+import sys
+from pathlib import Path
+
+from marjoramstep_consensus.file_layer import OsFileLayer
+from marjoramstep_daemon.main import main
+
+
+TRIGGER = Path(sys.argv.pop(1))
+append = OsFileLayer.append
+
+
+def failing_append(self: OsFileLayer, name: str, data: bytes) -> None:
+    if TRIGGER.exists():
+        # A full disk takes a part of the bytes before it fails.
+        append(self, name, data[: len(data) // 2])
+        number = getattr(errno, TRIGGER.read_text())
+        raise OSError(number, os.strerror(number))
+    append(self, name, data)
+
+
+if __name__ == "__main__":
+    OsFileLayer.append = failing_append  # type: ignore[method-assign]
+    main()
