--- a/features/control/data_folder.feature
+++ b/features/control/data_folder.feature
@@ -12,6 +12,7 @@
     Given a control cluster of 1 replica
     When the replica is killed after an edit and a part of a record is added to its log
     Then the replica starts, logs what it cut off, and still has the edit
+    And what it writes after the cut is there after one more start
 
   Scenario Outline: The disk fails with <error>
     Guards against an edit that is accepted but not stored; also against a silent stop.
--- a/features/steps/control_data_folder_steps.py
+++ b/features/steps/control_data_folder_steps.py
@@ -84,6 +84,18 @@
     assert context.world.run(_table(context)) == (2, 1_600)
 
 
+@then("what it writes after the cut is there after one more start")
+def step_after_cut(context: Any) -> None:
+    async def run() -> None:
+        await _accept(context, "after-cut", 2, 1_650)
+        context.cluster.processes[NAME].kill()
+        await context.cluster.restart(NAME)
+        assert await _table(context) == (3, 1_650)
+        assert not context.cluster.processes[NAME].log_events("torn record cut off")
+
+    context.world.run(run())
+
+
 @given("a control cluster of 1 replica whose disk can be made to fail")
 def step_failing_disk(context: Any) -> None:
     async def run() -> None:
--- a/features/steps/control_operators_steps.py
+++ b/features/steps/control_operators_steps.py
@@ -163,6 +163,9 @@
     _, table = context.world.run(context.cluster.ask("GET", "/v1/table"))
     assert table["version"] == 2, table["version"]
     assert table["rows"][0]["deadline_ms"] == EDITS[context.winner][1], table
+    _, audit = context.world.run(context.cluster.ask("GET", "/v1/audit"))
+    verdicts = [entry["verdict"] for entry in audit["entries"]]
+    assert verdicts == ["accepted", "conflict"], audit
 
 
 @when(
