--- a/packages/replay/src/marjoramstep_replay/__main__.py
+++ b/packages/replay/src/marjoramstep_replay/__main__.py
@@ -7,9 +7,9 @@
 import defopt
 from marjoramstep_core.errors import MarjoramstepError
 
-from .commands import generate_trace
-from .commands import latency
-from .commands import replay_trace
+from .commands.generate import generate_trace
+from .commands.latency import latency
+from .commands.replay import replay_trace
 
 
 INVALID_STATUS = 2
--- a/packages/replay/src/marjoramstep_replay/commands/demo.py
+++ b/packages/replay/src/marjoramstep_replay/commands/demo.py
@@ -6,9 +6,6 @@
 
 import uvloop
 
-from ..demo import Demo
-from ..demo import DemoOptions
-
 
 def demo(
     *,
@@ -23,5 +20,9 @@
     :param limit_seconds: Longest time to serve, by default until Ctrl-C.
     :return: exit status; 0 only if all checks were passed
     """
+    # The operator's command loads this module at each start, so it stays light.
+    from ..demo import Demo
+    from ..demo import DemoOptions
+
     status: int = uvloop.run(Demo(DemoOptions(folder, once, limit_seconds)).run())
     return status
