Count a late call in flight against its backend server at once

Cause: the score used the latency of answers only. With one unanswered call to the backend server of its own zone, the score was at most twice a remote one, so the node sent it further calls until it was suspended, which takes two calls in flight beyond three times the median or one beyond ten times. Change: the score uses the age of the oldest short call in flight when this is above the average latency. Figures: scenario 'One late call sends the next ones to another zone' fails without the change (all of 100 picks stay in the zone instead of none).

--- a/features/policy/routing.feature
+++ b/features/policy/routing.feature
@@ -17,6 +17,17 @@
       | uniform     | 1    | 10       | over 60%  |
       | uniform     | 3    | 100000   | over 60%  |
 
+  Scenario Outline: One late call sends the next ones to another zone before its answer
+    Given a "<router>" router with a backend server in each of 3 zones, all answering in 5 ms
+    When one call to the own zone has been in flight for <age> ms
+    Then <share> of the next calls go to the own zone
+
+    Examples:
+      | router      | age | share |
+      | two-choices | 2   | all   |
+      | two-choices | 12  | none  |
+      | uniform     | 12  | some  |
+
   Scenario: A backend server that fails fast attracts no traffic
     Given 1 "two-choices" router with 6 warm backend servers and seed 17
     When backend server "s0" fails each call at once
--- a/features/steps/policy_routing_steps.py
+++ b/features/steps/policy_routing_steps.py
@@ -219,6 +219,37 @@
     assert zones.count(unused) == 0, Counter(zones)
 
 
+@given(
+    'a "{router}" router with a backend server in each of 3 zones, all answering in '
+    "{latency:d} ms"
+)
+def step_one_a_zone(context: Any, router: str, latency: int) -> None:
+    members = [_member(zone, zone) for zone in "abc"]
+    context.world = world = RouteWorld(router, 1, members, 21)
+    for _ in range(20):
+        for member in members:
+            world.routers[0].started(member.server_id)
+        world.clock.advance_ms(latency)
+        for member in members:
+            answered = CallResult.ANSWERED
+            world.routers[0].finished(member.server_id, latency, answered, None)
+
+
+@when("one call to the own zone has been in flight for {age:d} ms")
+def step_late_call(context: Any, age: int) -> None:
+    context.world.routers[0].started(ServerId("a"))
+    context.world.clock.advance_ms(age)
+
+
+@then("{share} of the next calls go to the own zone")
+def step_own_zone(context: Any, share: str) -> None:
+    router = context.world.routers[0]
+    picks = [router.pick(SERVICE, frozenset()).server_id for _ in range(100)]
+    own = picks.count(ServerId("a"))
+    found = {0: "none", len(picks): "all"}.get(own, "some")
+    assert found == share, Counter(picks)
+
+
 @when('backend server "{name}" restarts with a new incarnation')
 def step_restart(context: Any, name: str) -> None:
     members = context.world.members
--- a/packages/policy/src/marjoramstep_policy/routing/server_state.py
+++ b/packages/policy/src/marjoramstep_policy/routing/server_state.py
@@ -109,6 +109,10 @@
         latency_ms = self.latency_ms
         if latency_ms is None:
             latency_ms = reference_ms or UNKNOWN_LATENCY_MS
+        # A call that is late says that the server is slowed before any answer does.
+        # A node with few calls to the server would send it several more until then.
+        if self.starts_ms:
+            latency_ms = max(latency_ms, now_ms - self.starts_ms[0])
         score = (self.in_flight + 1) * latency_ms
         if self.load_pressure:
             age_ms = now_ms - self.load_at_ms
