Show the 99.9th percentile in the figures of a replay

Cause: the summary of a replay gave p50 and p99 only, and the tail beyond p99 of the slow-servers measure had to be computed by a scratch script. Change: figure p99_9_ms of each group, by the same nearest-rank method. Conclusion: with fewer than 1000 good requests it is the largest latency.

--- a/packages/replay/src/marjoramstep_replay/report.py
+++ b/packages/replay/src/marjoramstep_replay/report.py
@@ -92,6 +92,7 @@
         "attempts_per_request": sum(len(r.attempts) for r in requests) / count,
         "p50_ms": percentile(latencies, 50.0),
         "p99_ms": percentile(latencies, 99.0),
+        "p99_9_ms": percentile(latencies, 99.9),
     }
 
 
