Count requests without a good answer in the compared p99

Cause: p99-relative compared good requests only. The check was wrong: a side that refuses its slow requests seemed fast. Change: a request without a good answer counts with its deadline, or with its latency if longer, on both sides. For the judged side this is stricter. Ruled out: blocking with decisions on; uploads held at most 6 of 12 slots.

--- a/features/replay/verdict.feature
+++ b/features/replay/verdict.feature
@@ -30,6 +30,7 @@
       | shed                    | {"kind": "recovery", "maximum_ms": 1000}            | not met |
       | good                    | {"kind": "p99-relative", "maximum_ratio": 1.0}      | met     |
       | slow                    | {"kind": "p99-relative", "maximum_ratio": 1.0}      | not met |
+      | shed                    | {"kind": "p99-relative", "maximum_ratio": 1.0}      | not met |
 
   Scenario Outline: Nothing to judge never passes
     Given an observed run with 9 good requests and 1 good request
@@ -47,3 +48,14 @@
   Scenario: An unknown kind or bound of a stated outcome is refused
     Then the stated outcome {"kind": "goodput-share", "minimum": 0.5, "max": 1} is refused
     And the stated outcome {"kind": "goodput"} is refused
+
+  Scenario Outline: A baseline that refuses requests does not seem fast
+    Given an observed run with 9 good requests and 1 slow request
+    And its baseline refused <number> of the requests
+    Then the stated outcome {"kind": "p99-relative", "maximum_ratio": 1.0} is <verdict>
+
+    Examples:
+      | number | verdict |
+      | 0      | not met |
+      | 1      | met     |
+      | 10     | met     |
--- a/features/steps/replay_verdict_steps.py
+++ b/features/steps/replay_verdict_steps.py
@@ -70,6 +70,13 @@
     context.observed = _result(requests, keys + runs_of_odd.get(odd, [key]))
 
 
+@given("its baseline refused {number:d} of the requests")
+def step_baseline(context: Any, number: int) -> None:
+    requests = list(context.baseline_result.requests)
+    refused = [replace(r, **ODD_REQUESTS["shed"]) for r in requests[:number]]
+    context.baseline_result = _result(refused + requests[number:], [])
+
+
 def _judge(context: Any, check: str) -> bool:
     outcomes = StatedOutcomes.from_json({"checks": [json.loads(check)]})
     (result,) = judge(outcomes, [context.observed], [context.baseline_result])
--- a/packages/replay/src/marjoramstep_replay/outcomes/checks.py
+++ b/packages/replay/src/marjoramstep_replay/outcomes/checks.py
@@ -204,7 +204,9 @@
 
 @CHECKS.register("p99-relative")
 class P99RelativeCheck:
-    """99th percentile of good requests' latency against the baseline's.
+    """99th percentile of the time to a good answer against the baseline's.
+
+    A request without a good answer counts with its deadline on both sides.
 
     :param fields: ``maximum_ratio``
     """
@@ -217,10 +219,10 @@
     ) -> Finding:
         """Check one run; see :meth:`Check.apply`."""
         if baseline_p99_ms is None or not baseline_p99_ms > 0.0:
-            return _nothing("no baseline, or no good request in it")
+            return _nothing("no baseline, or no request in it")
         ratio = run.p99_ms(groups) / baseline_p99_ms
         if ratio != ratio:
-            return _nothing("no good request in these groups")
+            return _nothing("no request in these groups")
         return Finding(
             ratio <= self._maximum_ratio,
             ratio,
--- a/packages/replay/src/marjoramstep_replay/outcomes/result.py
+++ b/packages/replay/src/marjoramstep_replay/outcomes/result.py
@@ -112,14 +112,19 @@
         return [r for r in self.requests if not names or r.group in names]
 
     def p99_ms(self, groups: Iterable[str]) -> float:
-        """Return the 99th percentile of the latency of good requests.
+        """Return the 99th percentile of the time to a good answer.
+
+        A request without one counts with its deadline, or its latency if longer.
+        Otherwise a variant that refuses the slow requests would seem to be fast.
 
         :param groups: names; none means all
-        :return: milliseconds; not a number without a good request
+        :return: milliseconds; not a number without a request
         """
-        return percentile(
-            [r.latency_ms for r in self.of_groups(groups) if r.is_good], 99.0
-        )
+        times_ms = [
+            r.latency_ms if r.is_good else max(r.latency_ms, r.deadline_ms)
+            for r in self.of_groups(groups)
+        ]
+        return percentile(times_ms, 99.0)
 
 
 def percentile(values: list[float], percent: float) -> float:
