--- a/packages/replay/src/marjoramstep_replay/generators/measures.py
+++ b/packages/replay/src/marjoramstep_replay/generators/measures.py
@@ -29,8 +29,8 @@
 
 CheckDocument = dict[str, Any]
 
-# In a trial with one upload for each slot, lookups of the baseline still found free
-# slots, and no blocking could be measured.
+# Without slots kept for short calls, one upload for each slot fills all slots too, but
+# in a trial only for a third as long, because uploads arrive over a part of the trace.
 UPLOADS_PER_SLOT = 2
 
 ALWAYS_CHECKS: tuple[CheckDocument, ...] = (
