Let sub-calls and rows with a long queue wait outlast a standing queue

Cause: dropping for standing delay (20 ms over 100 ms) ignored queue_wait_ms, so settlements with seconds left were dropped, and sub-calls were dropped or expired after the 500 ms of the called row. Their roots then answered 502, and the work of the root was lost. Newest-first order made the oldest important call wait for the whole backlog. Change: a sub-call waits until its deadline, and a row with a queue wait above 1 s until that wait is over; both keep the order of deadlines. Other roots are dropped as before. Test changed: the scenario of the standing queue used a row with a queue wait of 60 s, which now asks not to be dropped. It uses 1 s; its assertions are the same.

--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -117,6 +117,25 @@
     Then only the oldest call of weight 10 is dropped
     And the newest call of weight 20 starts first
 
+  Scenario: A row that allows a long wait is not dropped for standing delay
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When 5 calls of a row with a queue wait of 4000 ms wait among shorter waits
+    Then only calls of the shorter wait are refused
+    And the calls of the long wait start in the order of their arrival
+
+  Scenario: A sub-call waits longer than its row allows a root to wait
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When a sub-call and a root of a row with a queue wait of 70 ms wait
+    Then the root is refused after 70 ms and the sub-call starts after 600 ms
+
+  Scenario: A sub-call does not wait past its deadline
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When a sub-call with a deadline in 300 ms waits in admission
+    Then the sub-call is refused as "deadline" and never starts
+
   Scenario Outline: Random sequences keep the invariants
     Given an admission server "adaptive" with <slots> slots and seed <seed>
     When 4000 random arrivals, ends, cancellations and changes of slots happen
--- a/features/steps/policy_admission_steps.py
+++ b/features/steps/policy_admission_steps.py
@@ -355,7 +355,7 @@
 
 @when("3 calls of weight 10 and 2 of weight 20 wait for 130 ms")
 def step_standing(context: Any) -> None:
-    row = make_row("mixed", queue_wait_ms=60_000)
+    row = make_row("mixed", queue_wait_ms=1000)
     context.waiting = []
     for weight in (10, 20, 10, 20, 10):
         context.waiting.append(context.server.arrive(row, weight=weight))
@@ -467,3 +467,60 @@
 @then('the learned row is "{size}"')
 def step_learned(context: Any, size: str) -> None:
     assert context.classifier.classify(context.learned_row).value == size
+
+
+@when("5 calls of a row with a queue wait of 4000 ms wait among shorter waits")
+def step_patient(context: Any) -> None:
+    rows = {wait: make_row(f"w{wait}", queue_wait_ms=wait) for wait in (500, 4000)}
+    context.waiting = {500: [], 4000: []}
+    for _ in range(5):
+        for wait, row in rows.items():
+            context.waiting[wait].append(context.server.arrive(row))
+        context.server.step()
+    context.server.drain()
+
+
+@then("only calls of the shorter wait are refused")
+def step_only_short(context: Any) -> None:
+    decisions = [call.decision for call in context.waiting[500]]
+    assert any(isinstance(decision, Refuse) for decision in decisions), decisions
+    patient = [call.decision for call in context.waiting[4000]]
+    assert all(isinstance(decision, Start) for decision in patient), patient
+
+
+@then("the calls of the long wait start in the order of their arrival")
+def step_arrival_order(context: Any) -> None:
+    starts = [call.decided_ms for call in context.waiting[4000]]
+    assert starts == sorted(starts), starts
+    assert len(set(starts)) == len(starts), starts
+
+
+@when("a sub-call and a root of a row with a queue wait of 70 ms wait")
+def step_sub_call_wait(context: Any) -> None:
+    row = make_row("leaf", queue_wait_ms=70)
+    context.root = context.server.arrive(row)
+    context.sub_call = context.server.arrive(row, depth=1)
+    context.server.drain()
+
+
+@then("the root is refused after 70 ms and the sub-call starts after 600 ms")
+def step_sub_call_started(context: Any) -> None:
+    assert isinstance(context.root.decision, Refuse), context.root
+    assert context.root.decided_ms == 70, context.root
+    assert isinstance(context.sub_call.decision, Start), context.sub_call
+    assert context.sub_call.decided_ms == 600, context.sub_call
+
+
+@when("a sub-call with a deadline in 300 ms waits in admission")
+def step_sub_call_deadline(context: Any) -> None:
+    row = make_row("leaf", queue_wait_ms=70)
+    context.sub_call = context.server.arrive(row, depth=1, deadline_in_ms=300)
+    context.server.drain()
+
+
+@then('the sub-call is refused as "{reason}" and never starts')
+def step_sub_call_refused(context: Any, reason: str) -> None:
+    decision = context.sub_call.decision
+    assert isinstance(decision, Refuse), context.sub_call
+    assert decision.reason is Reason(reason), context.sub_call
+    assert context.sub_call.decided_ms <= 300, context.sub_call
--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -290,9 +290,9 @@
         if victim is not None:
             decisions.append(self._refuse(now_ms, victim, Reason.EVICTED))
         work_ms = self._service_times.expected_ms(now_ms, request.row)
-        expires_ms = min(
-            now_ms + request.row.queue_wait_ms, request.deadline_ms - work_ms
-        )
+        expires_ms = request.deadline_ms - work_ms
+        if request.depth == 0:
+            expires_ms = min(expires_ms, now_ms + request.row.queue_wait_ms)
         self._sequence += 1
         self._queue.push(
             QueueEntry(
@@ -365,7 +365,7 @@
     def _wait_ms(self, now_ms: float, request: AdmissionRequest) -> float:
         limit = self._limit.value
         is_long = request.size_class is SizeClass.LONG
-        work_ms = self._queue.work_ahead_ms(is_long, request.weight)
+        work_ms = self._queue.work_ahead_ms(request)
         # The next slot is expected to free up after a share of one service time.
         work_ms += self._service_times.expected_ms(now_ms, request.row)
         for_long = is_long and self._limit_long
@@ -395,4 +395,5 @@
         # With a free slot, only the limit of a row keeps its calls waiting.
         if not self._queue.class_count(False) or self._class_has_slot(False):
             return None
-        return self._queue.least_important(False)
+        entry = self._queue.least_important(False)
+        return None if entry is None or entry.is_patient else entry
--- a/packages/policy/src/marjoramstep_policy/admission/queue.py
+++ b/packages/policy/src/marjoramstep_policy/admission/queue.py
@@ -7,6 +7,8 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from marjoramstep_core.states import SizeClass
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,6 +24,9 @@
 BLOCKS = 32
 # Removed entries stay in a heap until they reach its top or outnumber the rest.
 COMPACTION_SLACK = 64
+# A row that allows a longer wait than this asks to wait out an overload. A client whose
+# resends are over in less time cannot do so itself after a refusal.
+PATIENT_WAIT_MS = 1000
 # Rows that were dropped from the table are forgotten when there are many lanes.
 MIN_SWEEP_LANES = 256
 
@@ -47,6 +52,23 @@
     is_long: bool
     queued: bool = True
 
+    @property
+    def is_patient(self) -> bool:
+        """Whether only the bound on the wait and the deadline end the wait.
+
+        Refusing a sub-call would waste the work that its root has already cost.
+        """
+        return is_patient(self.request)
+
+
+def is_patient(request: AdmissionRequest) -> bool:
+    """Tell whether standing delay leaves a call in the queue.
+
+    :param request: the call
+    :return: true for a sub-call and for a row that allows a long wait
+    """
+    return request.depth > 0 or request.row.queue_wait_ms > PATIENT_WAIT_MS
+
 
 def deadline_order(entry: QueueEntry) -> Key:
     """Order by weight, sub-call before root, then earliest deadline."""
@@ -55,9 +77,16 @@
 
 
 def newest_order(entry: QueueEntry) -> Key:
-    """Order by weight, sub-call before root, then newest arrival."""
+    """Order by weight, sub-call before root, then newest arrival.
+
+    Calls that standing delay does not drop keep the order of their deadlines: the
+    oldest of them would otherwise wait until the whole backlog is done.
+    """
     request = entry.request
-    return (-request.weight, request.depth == 0, -entry.sequence)
+    is_root = request.depth == 0
+    if entry.is_patient:
+        return (-request.weight, is_root, 0, request.deadline_ms, entry.sequence)
+    return (-request.weight, is_root, 1, -entry.sequence)
 
 
 def victim_order(entry: QueueEntry) -> Key:
@@ -206,15 +235,15 @@
         """
         return self._class_counts[is_long]
 
-    def work_ahead_ms(self, is_long: bool, weight: int) -> float:
+    def work_ahead_ms(self, request: AdmissionRequest) -> float:
         """Return the expected work that starts before a new arrival.
 
-        :param is_long: whether the arrival is of the size class ``LONG``
-        :param weight: weight of the arrival
+        :param request: the arrival
         :return: sum of expected service times in milliseconds
         """
-        lowest = weight if self._order is deadline_order else weight + 1
-        return self._work[is_long].at_least(lowest)
+        goes_last = self._order is deadline_order or is_patient(request)
+        lowest = request.weight if goes_last else request.weight + 1
+        return self._work[request.size_class is SizeClass.LONG].at_least(lowest)
 
     def push(self, entry: QueueEntry) -> None:
         """Add an entry.
