Give sub-calls the time that their whole request has left

Cause: a sub-call got the shorter of its root's deadline and that of the called row. The column deadline_ms is the time for a whole request. Lookups below audits (10 s) ended after 3 s behind a backlog of settlements, 27 of 39 audits answered 502, and clients do not resend after an answer. Change: the deadline of a sub-call is that of its root, or less if the backend server asks for less.

--- a/features/daemon/entry.feature
+++ b/features/daemon/entry.feature
@@ -32,3 +32,11 @@
   Scenario: An upload of undeclared length over the limit breaks off
     When an upload of 1 MiB with a limit of 512 KiB is read to its end
     Then the reader of the upload gets at most 512 KiB and an error
+
+  Scenario: A sub-call may use the time that its whole request has left
+    When a request with 20 s left makes a sub-call to a row with a deadline of 5 s
+    Then the sub-call may take as long as the request
+
+  Scenario: A backend server may allow a sub-call less time
+    When a request with 20 s left makes a sub-call that allows 100 ms
+    Then the sub-call ends 100 ms after it began
--- a/features/steps/daemon_entry_steps.py
+++ b/features/steps/daemon_entry_steps.py
@@ -9,23 +9,38 @@
 from behave import then
 from behave import when
 from daemon_harness import CLOCK
+from daemon_harness import make_call
+from daemon_harness import make_tables
 from daemon_harness import run
 from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.ids import RequestKey
 from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.ids import ZoneName
 from marjoramstep_core.states import Outcome
+from marjoramstep_daemon.backend_servers.in_flight import InFlightMap
+from marjoramstep_daemon.callers.entry import EntryService
+from marjoramstep_daemon.callers.entry_request import EntryRequest
 from marjoramstep_daemon.callers.key_history import KeyHistory
 from marjoramstep_daemon.callers.members import SERVICE_LIMIT
 from marjoramstep_daemon.callers.members import MemberKeeper
+from marjoramstep_daemon.calls import Answer
+from marjoramstep_daemon.calls import Body
+from marjoramstep_daemon.calls import Call
 from marjoramstep_daemon.log import EventLog
+from marjoramstep_daemon.metrics import NodeMetrics
+from marjoramstep_daemon.pressure_keeper import PressureKeeper
 from marjoramstep_daemon.upload import Upload
+from marjoramstep_policy.admission import SIZE_CLASS_VARIANTS
 from marjoramstep_policy.membership import MembershipView
+from marjoramstep_policy.pressure import PRESSURE_VARIANTS
+from marjoramstep_policy.retries import ALLOWANCES
+from marjoramstep_policy.retries import RESEND_LEDGERS
 from marjoramstep_policy.routing import ROUTERS
 from marjoramstep_wire.messages import Member
 from marjoramstep_wire.messages import MemberUpdate
 
 
+ROOT_BUDGET_MS = 20_000.0
 PART_BYTES = 65_536
 CONTENT = random.Random(7).randbytes(16 * PART_BYTES)
 
@@ -242,3 +257,68 @@
     content, error = context.limited
     assert error is not None
     assert len(content) == 512 * 1024
+
+
+class RecordingDispatcher:
+    """Answers each call at once and keeps it."""
+
+    def __init__(self) -> None:
+        self.calls: list[Call] = []
+
+    async def dispatch(self, call: Call, _allowance: Any) -> tuple[Answer, bool]:
+        """Keep the call."""
+        self.calls.append(call)
+        return Answer(200, [], Body()), False
+
+
+def _dispatch_sub_call(context: Any, deadline_ms: float | None) -> None:
+    make_allowance = ALLOWANCES.get("tokens")
+    in_flight, dispatcher = InFlightMap(make_allowance), RecordingDispatcher()
+    entry = EntryService(
+        CLOCK,
+        make_tables(),
+        in_flight,
+        RESEND_LEDGERS.get("counted")(CLOCK),
+        PressureKeeper(PRESSURE_VARIANTS.get("reported")(CLOCK)),
+        SIZE_CLASS_VARIANTS.get("stated")(),
+        dispatcher,  # type: ignore[arg-type]
+        make_allowance,
+        NodeMetrics(),
+    )
+    context.root = make_call(deadline_ms=ROOT_BUDGET_MS)
+    request = EntryRequest(
+        service=ServiceName("leaf"),
+        method="GET",
+        path="/",
+        headers=[],
+        body=Body(),
+        request_key=RequestKey(f"{CLOCK.wall_ms()}-{'k' * 16}"),
+        deadline_ms=deadline_ms,
+        context_id=in_flight.add(context.root, CLOCK.now_ms()),
+    )
+    context.began_ms = CLOCK.now_ms()
+    run(entry.execute(request))
+    (context.sub_call,) = dispatcher.calls
+
+
+@when("a request with 20 s left makes a sub-call to a row with a deadline of 5 s")
+def step_sub_call(context: Any) -> None:
+    _dispatch_sub_call(context, None)
+    assert context.sub_call.row.deadline_ms == 5_000
+
+
+@then("the sub-call may take as long as the request")
+def step_root_deadline(context: Any) -> None:
+    assert context.sub_call.deadline_ms == context.root.deadline_ms
+
+
+@when("a request with 20 s left makes a sub-call that allows 100 ms")
+def step_short_sub_call(context: Any) -> None:
+    _dispatch_sub_call(context, 100.0)
+
+
+@then("the sub-call ends 100 ms after it began")
+def step_short_deadline(context: Any) -> None:
+    allowed_ms = context.sub_call.deadline_ms - context.began_ms
+    # The call begins when the entry reads its clock, which may be a little later.
+    assert 100.0 <= allowed_ms < ROOT_BUDGET_MS / 2, allowed_ms
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -247,7 +247,11 @@
         call.root_id = parent.call.root_id
         call.weight = parent.call.weight
         call.depth = parent.call.depth + 1
-        call.deadline_ms = min(call.deadline_ms, parent.call.deadline_ms)
+        # The deadline of a row is that of a whole request. A shorter one of the called
+        # row would end the request while its own deadline can still be met.
+        call.deadline_ms = parent.call.deadline_ms
+        if request.deadline_ms is not None:
+            call.deadline_ms = min(call.deadline_ms, now_ms + request.deadline_ms)
         parent.used_services.add(request.service)
         reply, maybe = await self._dispatcher.dispatch(call, parent.allowance)
         parent.used_services |= call.reached_services
