Ignore a slowdown that ended within a window of the concurrency limit

Cause: with few calls a window of 72 lasts up to 5 s. It closed after the slowdown of 3 s was over and lowered the limit of the slowed service from 7 to between 3 and 5 at normal speed (read from the gauges in flight, limit and queue every second). Reads then waited 500 ms twice, spent their two retries and were refused. Change: a window with a latency jump counts only if its last 24 calls show the jump as well. Otherwise it is left out also as a reference. Reverted try: ignoring only the decision and keeping the window as a reference. The end of the slowdown was then taken for an effect of concurrency; limits 4 and 5 of 7, recovery still 5000 ms.

--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -136,6 +136,11 @@
     When a sub-call with a deadline in 300 ms waits in admission
     Then the sub-call is refused as "deadline" and never starts
 
+  Scenario: A slowdown that ends within a window does not lower the limit
+    Given an admission server "adaptive" with 7 slots and seed 1
+    When 2 calls at a time run for 6 s, then 7 at a time with 250 ms of slowdown
+    Then the limit stayed at 7 from the slowdown until 2 s after it
+
   Scenario Outline: Random sequences keep the invariants
     Given an admission server "adaptive" with <slots> slots and seed <seed>
     When 4000 random arrivals, ends, cancellations and changes of slots happen
--- a/features/steps/policy_admission_steps.py
+++ b/features/steps/policy_admission_steps.py
@@ -524,3 +524,29 @@
     assert isinstance(decision, Refuse), context.sub_call
     assert decision.reason is Reason(reason), context.sub_call
     assert context.sub_call.decided_ms <= 300, context.sub_call
+
+
+@when("2 calls at a time run for 6 s, then 7 at a time with 250 ms of slowdown")
+def step_short_slowdown(context: Any) -> None:
+    server = context.server
+    row = make_row("steady")
+
+    def keep(count: int) -> None:
+        load = server.admission.load()
+        for _ in range(count - load.in_flight - load.queue_length):
+            server.arrive(row)
+        context.limits.append(server.admission.load().limit)
+
+    context.limits = []
+    server.run(6000, lambda: keep(2))
+    context.limits = []
+    server.slowdown = 4.0
+    server.run(250, lambda: keep(7))
+    server.slowdown = 1.0
+    server.run(2000, lambda: keep(7))
+
+
+@then("the limit stayed at {limit:d} from the slowdown until 2 s after it")
+def step_limit_kept(context: Any, limit: int) -> None:
+    assert len(context.limits) == 2250
+    assert set(context.limits) == {limit}, context.limits[::100]
--- a/packages/policy/src/marjoramstep_policy/admission/limit.py
+++ b/packages/policy/src/marjoramstep_policy/admission/limit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import InvalidInputError
@@ -61,6 +62,8 @@
         self._settling = False
         self._sums: dict[RowName, list[float]] = {}
         self._samples = 0
+        # Last calls of the window, to see whether a slowdown in it is over.
+        self._recent: deque[tuple[RowName, float]] = deque(maxlen=JUMP_WINDOW_SAMPLES)
         self._min_samples = MIN_WINDOW_SAMPLES
         self._previous: tuple[float, dict[RowName, list[float]]] | None = None
         # Logarithm of the latency relative to the first window, and its lowest value.
@@ -111,6 +114,7 @@
         entry = self._sums.setdefault(row, [0.0, 0.0])
         entry[0] += now_ms - start_ms
         entry[1] += 1.0
+        self._recent.append((row, now_ms - start_ms))
         self._samples += 1
         if self._samples < max(self._min_samples, WINDOW_TURNS * self.value):
             return False
@@ -125,13 +129,9 @@
         concurrency = max(self._area / duration_ms, 1e-3)
         before = self.value
         self._min_samples = MIN_WINDOW_SAMPLES
-        if self._previous is not None:
-            change = _latency_change_log(self._previous[1], self._sums)
-            self._level += change
-            self._lowest_level = min(self._lowest_level, self._level)
-            self._decide(self._previous[0], concurrency, change)
-        self._previous = (concurrency, self._sums)
+        self._learn(concurrency)
         self._sums = {}
+        self._recent.clear()
         self._samples = 0
         self._area = 0.0
         self._window_start_ms = now_ms
@@ -140,6 +140,28 @@
         self._held = self._held + 1 if self.value == before else 0
         self._settling = self.value < before
 
+    def _learn(self, concurrency: float) -> None:
+        previous = self._previous
+        if previous is not None:
+            change = _latency_change_log(previous[1], self._sums)
+            if change > LATENCY_JUMP_LOG and not self._is_still_slow(previous[1]):
+                # A slowdown ended in this window. A limit lowered for it now would
+                # extend the overload, and a comparison with this window would take
+                # the end of the slowdown for an effect of concurrency.
+                return
+            self._level += change
+            self._lowest_level = min(self._lowest_level, self._level)
+            self._decide(previous[0], concurrency, change)
+        self._previous = (concurrency, self._sums)
+
+    def _is_still_slow(self, previous: dict[RowName, list[float]]) -> bool:
+        sums: dict[RowName, list[float]] = {}
+        for row, duration_ms in self._recent:
+            entry = sums.setdefault(row, [0.0, 0.0])
+            entry[0] += duration_ms
+            entry[1] += 1.0
+        return _latency_change_log(previous, sums) > LATENCY_JUMP_LOG
+
     def _decide(self, previous: float, current: float, change: float) -> None:
         moved = math.log(current / previous)
         if self._at_knee:
