Measure standing delay against the service time of the calls that wait

Cause: the target of 20 ms and interval of 100 ms are shorter than the service time of slow calls. On 5 to 7 slots with calls of 127 to 222 ms a wait of one turn is no overload, but each such wait of a tariff read or passage lookup was dropped. Two drops spent the two retries of the row, and the last resends were refused. Change: target and interval are at least the expected service time of the call.

--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -117,6 +117,12 @@
     Then only the oldest call of weight 10 is dropped
     And the newest call of weight 20 starts first
 
+  Scenario: A wait of less than one service time is no standing queue
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When 3 calls that take 200 ms wait in admission
+    Then none of them is dropped within 390 ms and one within 410 ms
+
   Scenario: A row that allows a long wait is not dropped for standing delay
     Given an admission server "fixed-limit" with 1 slots and seed 1
     And one running call that takes 600 ms
--- a/features/steps/policy_admission_steps.py
+++ b/features/steps/policy_admission_steps.py
@@ -469,6 +469,22 @@
     assert context.classifier.classify(context.learned_row).value == size
 
 
+@when("3 calls that take 200 ms wait in admission")
+def step_long_work(context: Any) -> None:
+    row = make_row("slow", expected_ms=200, queue_wait_ms=1000)
+    context.waiting = [context.server.arrive(row, work_ms=200) for _ in range(3)]
+
+
+@then("none of them is dropped within {kept:d} ms and one within {dropped:d} ms")
+def step_dropped_late(context: Any, kept: int, dropped: int) -> None:
+    context.server.run(kept)
+    assert [call.decision for call in context.waiting] == [None] * 3, context.waiting
+    context.server.run(dropped - kept)
+    refused = [call for call in context.waiting if isinstance(call.decision, Refuse)]
+    assert len(refused) == 1, context.waiting
+    assert refused[0].decision.reason is Reason.OVERLOAD
+
+
 @when("5 calls of a row with a queue wait of 4000 ms wait among shorter waits")
 def step_patient(context: Any) -> None:
     rows = {wait: make_row(f"w{wait}", queue_wait_ms=wait) for wait in (500, 4000)}
--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -19,9 +19,9 @@
 from .queue import AdmissionQueue
 from .queue import QueueEntry
 from .service_times import ServiceTimes
-from .shedding import DELAY_TARGET_MS
 from .shedding import AdmittedWeight
 from .shedding import DelayMonitor
+from .shedding import delay_target_ms
 
 
 if TYPE_CHECKING:
@@ -170,7 +170,7 @@
         due_ms = self._delays.next_ms
         oldest = self._delayed_entry()
         if due_ms is None and oldest is not None:
-            due_ms = oldest.arrived_ms + DELAY_TARGET_MS
+            due_ms = oldest.arrived_ms + delay_target_ms(oldest.work_ms)
         return entry.expires_ms if due_ms is None else min(entry.expires_ms, due_ms)
 
     def set_slots(self, slots: int) -> list[Decision]:
@@ -383,9 +383,9 @@
     def _watch_delay(self, now_ms: float, decisions: list[Decision]) -> None:
         standing = self._delays.standing
         oldest = self._delayed_entry()
-        if oldest is None:
-            self._delays.observe(now_ms, 0.0)
-        elif self._delays.observe(now_ms, now_ms - oldest.arrived_ms):
+        delay_ms = now_ms - oldest.arrived_ms if oldest else 0.0
+        work_ms = oldest.work_ms if oldest else 0.0
+        if self._delays.observe(now_ms, delay_ms, work_ms) and oldest:
             self._queue.remove(oldest)
             decisions.append(self._refuse(now_ms, oldest.request, Reason.OVERLOAD))
         if self._delays.standing != standing:
--- a/packages/policy/src/marjoramstep_policy/admission/queue.py
+++ b/packages/policy/src/marjoramstep_policy/admission/queue.py
@@ -54,16 +54,15 @@
 
     @property
     def is_patient(self) -> bool:
-        """Whether only the bound on the wait and the deadline end the wait.
-
-        Refusing a sub-call would waste the work that its root has already cost.
-        """
+        """Whether standing delay leaves the call in the queue."""
         return is_patient(self.request)
 
 
 def is_patient(request: AdmissionRequest) -> bool:
     """Tell whether standing delay leaves a call in the queue.
 
+    Refusing a sub-call would waste the work that its root has already cost.
+
     :param request: the call
     :return: true for a sub-call and for a row that allows a long wait
     """
--- a/packages/policy/src/marjoramstep_policy/admission/shedding.py
+++ b/packages/policy/src/marjoramstep_policy/admission/shedding.py
@@ -6,13 +6,24 @@
 
 
 # A wait that never fell below the target for an interval is a standing queue. A burst
-# that the slots work off within the interval is not.
+# that the slots work off within the interval is not. For calls longer than these times,
+# one service time takes their place: a few slots that are all busy for one turn make
+# the next call wait about as long without any overload.
 DELAY_TARGET_MS = 20.0
 DELAY_INTERVAL_MS = 100.0
 # A weight counts as shed for this long after its last refusal.
 SHED_MEMORY_MS = 1000.0
 
 
+def delay_target_ms(work_ms: float) -> float:
+    """Return the wait above which a queue may be a standing one.
+
+    :param work_ms: expected service time of the call that waits, in milliseconds
+    :return: milliseconds
+    """
+    return max(DELAY_TARGET_MS, work_ms)
+
+
 class DelayMonitor:
     """Tells when the least important call has waited too long for a whole interval.
 
@@ -23,6 +34,7 @@
     def __init__(self) -> None:
         self._above_since_ms: float | None = None
         self._next_drop_ms: float | None = None
+        self._interval_ms = DELAY_INTERVAL_MS
         self._drops = 0
 
     @property
@@ -36,17 +48,19 @@
         if self._next_drop_ms is not None:
             return self._next_drop_ms
         if self._above_since_ms is not None:
-            return self._above_since_ms + DELAY_INTERVAL_MS
+            return self._above_since_ms + self._interval_ms
         return None
 
-    def observe(self, now_ms: float, delay_ms: float) -> int:
+    def observe(self, now_ms: float, delay_ms: float, work_ms: float) -> int:
         """Note the present delay.
 
         :param now_ms: present time in milliseconds
         :param delay_ms: wait so far of the least important call, 0 without one
+        :param work_ms: expected service time of that call in milliseconds
         :return: number of calls to drop now
         """
-        if delay_ms < DELAY_TARGET_MS:
+        self._interval_ms = max(DELAY_INTERVAL_MS, work_ms)
+        if delay_ms < delay_target_ms(work_ms):
             self._above_since_ms = None
             self._next_drop_ms = None
             self._drops = 0
@@ -57,7 +71,7 @@
         if due_ms is None or now_ms < due_ms:
             return 0
         self._drops += 1
-        self._next_drop_ms = now_ms + DELAY_INTERVAL_MS / math.sqrt(self._drops)
+        self._next_drop_ms = now_ms + self._interval_ms / math.sqrt(self._drops)
         return 1
 
 
