--- a/features/daemon/entry.feature
+++ b/features/daemon/entry.feature
@@ -37,3 +37,11 @@
     When a sub-call arrives while its parent runs and another after its end
     Then the first is dispatched with the parent's weight and deadline
     And the second is refused because its parent has ended and did not run
+
+  Scenario: A sub-call may use the time that its whole request has left
+    When a request with 20 s left makes a sub-call to a row with a deadline of 5 s
+    Then the sub-call may take as long as the request
+
+  Scenario: A backend server may allow a sub-call less time
+    When a request with 20 s left makes a sub-call that allows 100 ms
+    Then the sub-call ends 100 ms after it began
--- a/features/policy/admission.feature
+++ b/features/policy/admission.feature
@@ -117,6 +117,36 @@
     Then only the oldest call of weight 10 is dropped
     And the newest call of weight 20 starts first
 
+  Scenario: A wait of less than one service time is no standing queue
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When 3 calls that take 200 ms wait in admission
+    Then none of them is dropped within 390 ms and one within 410 ms
+
+  Scenario: A row that allows a long wait is not dropped for standing delay
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When 5 calls of a row with a queue wait of 4000 ms wait among shorter waits
+    Then only calls of the shorter wait are refused
+    And the calls of the long wait start in the order of their arrival
+
+  Scenario: A sub-call waits longer than its row allows a root to wait
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When a sub-call and a root of a row with a queue wait of 70 ms wait
+    Then the root is refused after 70 ms and the sub-call starts after 600 ms
+
+  Scenario: A sub-call does not wait past its deadline
+    Given an admission server "fixed-limit" with 1 slots and seed 1
+    And one running call that takes 600 ms
+    When a sub-call with a deadline in 300 ms waits in admission
+    Then the sub-call is refused as "deadline" and never starts
+
+  Scenario: A slowdown that ends within a window does not lower the limit
+    Given an admission server "adaptive" with 7 slots and seed 1
+    When 2 calls at a time run for 6 s, then 7 at a time with 250 ms of slowdown
+    Then the limit stayed at 7 from the slowdown until 2 s after it
+
   Scenario Outline: Random sequences keep the invariants
     Given an admission server "adaptive" with <slots> slots and seed <seed>
     When 4000 random arrivals, ends, cancellations and changes of slots happen
--- a/features/steps/daemon_entry_steps.py
+++ b/features/steps/daemon_entry_steps.py
@@ -20,6 +20,7 @@
 from marjoramstep_core.states import Reason
 from marjoramstep_daemon.backend_servers.in_flight import InFlightMap
 from marjoramstep_daemon.callers.entry import EntryService
+from marjoramstep_daemon.callers.entry_request import EntryRequest
 from marjoramstep_daemon.callers.entry_request import parse_request
 from marjoramstep_daemon.callers.key_history import KeyHistory
 from marjoramstep_daemon.callers.members import SERVICE_LIMIT
@@ -40,6 +41,7 @@
 from marjoramstep_wire.messages import MemberUpdate
 
 
+ROOT_BUDGET_MS = 20_000.0
 PART_BYTES = 65_536
 CONTENT = random.Random(7).randbytes(16 * PART_BYTES)
 
@@ -277,23 +279,27 @@
         """Leave the result as it is."""
 
 
+def _make_entry(in_flight: InFlightMap, dispatcher: FakeDispatcher) -> EntryService:
+    return EntryService(
+        CLOCK,
+        make_tables(),
+        in_flight,
+        ResendLedger(CLOCK),
+        PressureKeeper(PRESSURE_VARIANTS.get("reported")(CLOCK)),
+        SIZE_CLASS_VARIANTS.get("learned")(),
+        dispatcher,  # type: ignore[arg-type]
+        RetryAllowance,
+        NodeMetrics(),
+        NeverClaimed(),  # type: ignore[arg-type]
+    )
+
+
 @when("a sub-call arrives while its parent runs and another after its end")
 def step_sub_calls(context: Any) -> None:
     async def scenario() -> None:
         in_flight = InFlightMap(RetryAllowance)
         context.dispatcher = FakeDispatcher()
-        entry = EntryService(
-            CLOCK,
-            make_tables(),
-            in_flight,
-            ResendLedger(CLOCK),
-            PressureKeeper(PRESSURE_VARIANTS.get("reported")(CLOCK)),
-            SIZE_CLASS_VARIANTS.get("learned")(),
-            context.dispatcher,
-            RetryAllowance,
-            NodeMetrics(),
-            NeverClaimed(),  # type: ignore[arg-type]
-        )
+        entry = _make_entry(in_flight, context.dispatcher)
         context.parent = make_call("parent", deadline_ms=1_000.0, weight=777)
         context_id = in_flight.add(context.parent, CLOCK.now_ms())
 
@@ -323,3 +329,45 @@
     assert context.second.outcome is Outcome.NOT_RUN, context.second
     assert context.second.reply.reason is Reason.PARENT_ENDED
     assert len(context.dispatcher.calls) == 1
+
+
+def _dispatch_sub_call(context: Any, deadline_ms: float | None) -> None:
+    in_flight, dispatcher = InFlightMap(RetryAllowance), FakeDispatcher()
+    entry = _make_entry(in_flight, dispatcher)
+    context.root = make_call(deadline_ms=ROOT_BUDGET_MS)
+    request = EntryRequest(
+        service=ServiceName("leaf"),
+        method="GET",
+        path="/",
+        headers=[],
+        body=Body(),
+        request_key=RequestKey(f"{CLOCK.wall_ms()}-{'k' * 16}"),
+        deadline_ms=deadline_ms,
+        context_id=in_flight.add(context.root, CLOCK.now_ms()),
+    )
+    context.began_ms = CLOCK.now_ms()
+    run(entry.execute(request))
+    (context.sub_call,) = dispatcher.calls
+
+
+@when("a request with 20 s left makes a sub-call to a row with a deadline of 5 s")
+def step_sub_call(context: Any) -> None:
+    _dispatch_sub_call(context, None)
+    assert context.sub_call.row.deadline_ms == 5_000
+
+
+@then("the sub-call may take as long as the request")
+def step_root_deadline(context: Any) -> None:
+    assert context.sub_call.deadline_ms == context.root.deadline_ms
+
+
+@when("a request with 20 s left makes a sub-call that allows 100 ms")
+def step_short_sub_call(context: Any) -> None:
+    _dispatch_sub_call(context, 100.0)
+
+
+@then("the sub-call ends 100 ms after it began")
+def step_short_deadline(context: Any) -> None:
+    allowed_ms = context.sub_call.deadline_ms - context.began_ms
+    # The call begins when the entry reads its clock, which may be a little later.
+    assert 100.0 <= allowed_ms < ROOT_BUDGET_MS / 2, allowed_ms
--- a/features/steps/policy_admission_steps.py
+++ b/features/steps/policy_admission_steps.py
@@ -355,7 +355,7 @@
 
 @when("3 calls of weight 10 and 2 of weight 20 wait for 130 ms")
 def step_standing(context: Any) -> None:
-    row = make_row("mixed", queue_wait_ms=60_000)
+    row = make_row("mixed", queue_wait_ms=1000)
     context.waiting = []
     for weight in (10, 20, 10, 20, 10):
         context.waiting.append(context.server.arrive(row, weight=weight))
@@ -467,3 +467,102 @@
 @then('the learned row is "{size}"')
 def step_learned(context: Any, size: str) -> None:
     assert context.classifier.classify(context.learned_row).value == size
+
+
+@when("3 calls that take 200 ms wait in admission")
+def step_long_work(context: Any) -> None:
+    row = make_row("slow", expected_ms=200, queue_wait_ms=1000)
+    context.waiting = [context.server.arrive(row, work_ms=200) for _ in range(3)]
+
+
+@then("none of them is dropped within {kept:d} ms and one within {dropped:d} ms")
+def step_dropped_late(context: Any, kept: int, dropped: int) -> None:
+    context.server.run(kept)
+    assert [call.decision for call in context.waiting] == [None] * 3, context.waiting
+    context.server.run(dropped - kept)
+    refused = [call for call in context.waiting if isinstance(call.decision, Refuse)]
+    assert len(refused) == 1, context.waiting
+    assert refused[0].decision.reason is Reason.OVERLOAD
+
+
+@when("5 calls of a row with a queue wait of 4000 ms wait among shorter waits")
+def step_patient(context: Any) -> None:
+    rows = {wait: make_row(f"w{wait}", queue_wait_ms=wait) for wait in (500, 4000)}
+    context.waiting = {500: [], 4000: []}
+    for _ in range(5):
+        for wait, row in rows.items():
+            context.waiting[wait].append(context.server.arrive(row))
+        context.server.step()
+    context.server.drain()
+
+
+@then("only calls of the shorter wait are refused")
+def step_only_short(context: Any) -> None:
+    decisions = [call.decision for call in context.waiting[500]]
+    assert any(isinstance(decision, Refuse) for decision in decisions), decisions
+    patient = [call.decision for call in context.waiting[4000]]
+    assert all(isinstance(decision, Start) for decision in patient), patient
+
+
+@then("the calls of the long wait start in the order of their arrival")
+def step_arrival_order(context: Any) -> None:
+    starts = [call.decided_ms for call in context.waiting[4000]]
+    assert starts == sorted(starts), starts
+    assert len(set(starts)) == len(starts), starts
+
+
+@when("a sub-call and a root of a row with a queue wait of 70 ms wait")
+def step_sub_call_wait(context: Any) -> None:
+    row = make_row("leaf", queue_wait_ms=70)
+    context.root = context.server.arrive(row)
+    context.sub_call = context.server.arrive(row, depth=1)
+    context.server.drain()
+
+
+@then("the root is refused after 70 ms and the sub-call starts after 600 ms")
+def step_sub_call_started(context: Any) -> None:
+    assert isinstance(context.root.decision, Refuse), context.root
+    assert context.root.decided_ms == 70, context.root
+    assert isinstance(context.sub_call.decision, Start), context.sub_call
+    assert context.sub_call.decided_ms == 600, context.sub_call
+
+
+@when("a sub-call with a deadline in 300 ms waits in admission")
+def step_sub_call_deadline(context: Any) -> None:
+    row = make_row("leaf", queue_wait_ms=70)
+    context.sub_call = context.server.arrive(row, depth=1, deadline_in_ms=300)
+    context.server.drain()
+
+
+@then('the sub-call is refused as "{reason}" and never starts')
+def step_sub_call_refused(context: Any, reason: str) -> None:
+    decision = context.sub_call.decision
+    assert isinstance(decision, Refuse), context.sub_call
+    assert decision.reason is Reason(reason), context.sub_call
+    assert context.sub_call.decided_ms <= 300, context.sub_call
+
+
+@when("2 calls at a time run for 6 s, then 7 at a time with 250 ms of slowdown")
+def step_short_slowdown(context: Any) -> None:
+    server = context.server
+    row = make_row("steady")
+
+    def keep(count: int) -> None:
+        load = server.admission.load()
+        for _ in range(count - load.in_flight - load.queue_length):
+            server.arrive(row)
+        context.limits.append(server.admission.load().limit)
+
+    context.limits = []
+    server.run(6000, lambda: keep(2))
+    context.limits = []
+    server.slowdown = 4.0
+    server.run(250, lambda: keep(7))
+    server.slowdown = 1.0
+    server.run(2000, lambda: keep(7))
+
+
+@then("the limit stayed at {limit:d} from the slowdown until 2 s after it")
+def step_limit_kept(context: Any, limit: int) -> None:
+    assert len(context.limits) == 2250
+    assert set(context.limits) == {limit}, context.limits[::100]
--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -19,9 +19,9 @@
 from .queue import AdmissionQueue
 from .queue import QueueEntry
 from .service_times import ServiceTimes
-from .shedding import DELAY_TARGET_MS
 from .shedding import AdmittedWeight
 from .shedding import DelayMonitor
+from .shedding import delay_target_ms
 
 
 if TYPE_CHECKING:
@@ -170,7 +170,7 @@
         due_ms = self._delays.next_ms
         oldest = self._delayed_entry()
         if due_ms is None and oldest is not None:
-            due_ms = oldest.arrived_ms + DELAY_TARGET_MS
+            due_ms = oldest.arrived_ms + delay_target_ms(oldest.work_ms)
         return entry.expires_ms if due_ms is None else min(entry.expires_ms, due_ms)
 
     def set_slots(self, slots: int) -> list[Decision]:
@@ -290,9 +290,9 @@
         if victim is not None:
             decisions.append(self._refuse(now_ms, victim, Reason.EVICTED))
         work_ms = self._service_times.expected_ms(now_ms, request.row)
-        expires_ms = min(
-            now_ms + request.row.queue_wait_ms, request.deadline_ms - work_ms
-        )
+        expires_ms = request.deadline_ms - work_ms
+        if request.depth == 0:
+            expires_ms = min(expires_ms, now_ms + request.row.queue_wait_ms)
         self._sequence += 1
         self._queue.push(
             QueueEntry(
@@ -365,7 +365,7 @@
     def _wait_ms(self, now_ms: float, request: AdmissionRequest) -> float:
         limit = self._limit.value
         is_long = request.size_class is SizeClass.LONG
-        work_ms = self._queue.work_ahead_ms(is_long, request.weight)
+        work_ms = self._queue.work_ahead_ms(request)
         # The next slot is expected to free up after a share of one service time.
         work_ms += self._service_times.expected_ms(now_ms, request.row)
         for_long = is_long and self._limit_long
@@ -383,9 +383,9 @@
     def _watch_delay(self, now_ms: float, decisions: list[Decision]) -> None:
         standing = self._delays.standing
         oldest = self._delayed_entry()
-        if oldest is None:
-            self._delays.observe(now_ms, 0.0)
-        elif self._delays.observe(now_ms, now_ms - oldest.arrived_ms):
+        delay_ms = now_ms - oldest.arrived_ms if oldest else 0.0
+        work_ms = oldest.work_ms if oldest else 0.0
+        if self._delays.observe(now_ms, delay_ms, work_ms) and oldest:
             self._queue.remove(oldest)
             decisions.append(self._refuse(now_ms, oldest.request, Reason.OVERLOAD))
         if self._delays.standing != standing:
@@ -395,4 +395,5 @@
         # With a free slot, only the limit of a row keeps its calls waiting.
         if not self._queue.class_count(False) or self._class_has_slot(False):
             return None
-        return self._queue.least_important(False)
+        entry = self._queue.least_important(False)
+        return None if entry is None or entry.is_patient else entry
