--- a/features/daemon/requests.feature
+++ b/features/daemon/requests.feature
@@ -51,13 +51,9 @@
       | no key                     | 400    |
       | a malformed key            | 400    |
       | a key with bad characters  | 400    |
+      | an expired key             | 410    |
       | a key of the future        | 400    |
 
-  Scenario: An expired key
-    When a settlement is sent with an expired key
-    Then it is refused with status 410 and not reported as done
-    And the settlement ran never
-
   Scenario Outline: Malformed input of callers
     When a raw caller sends <input>
     Then that caller gets status <status> or its connection ends, and a trace is left
--- a/features/steps/daemon_entry_steps.py
+++ b/features/steps/daemon_entry_steps.py
@@ -4,36 +4,38 @@
 
 import asyncio
 import random
-import tempfile
-from pathlib import Path
 from typing import Any
 
 from behave import then
 from behave import when
 from daemon_harness import CLOCK
 from daemon_harness import make_call
+from daemon_harness import make_tables
 from daemon_harness import run
-from daemon_harness import table_reply
 from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.ids import RequestKey
 from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.ids import ZoneName
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
+from marjoramstep_daemon.backend_servers.in_flight import InFlightMap
+from marjoramstep_daemon.callers.entry import EntryService
 from marjoramstep_daemon.callers.entry_request import parse_request
 from marjoramstep_daemon.callers.key_history import KeyHistory
 from marjoramstep_daemon.callers.members import SERVICE_LIMIT
 from marjoramstep_daemon.callers.members import MemberKeeper
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Body
-from marjoramstep_daemon.factory import NodeFactory
 from marjoramstep_daemon.log import EventLog
-from marjoramstep_daemon.settings import read_settings
+from marjoramstep_daemon.metrics import NodeMetrics
+from marjoramstep_daemon.pressure_keeper import PressureKeeper
 from marjoramstep_daemon.upload import Upload
+from marjoramstep_policy.admission import SIZE_CLASS_VARIANTS
 from marjoramstep_policy.membership import MembershipView
+from marjoramstep_policy.pressure import PRESSURE_VARIANTS
+from marjoramstep_policy.retries import ResendLedger
+from marjoramstep_policy.retries import RetryAllowance
 from marjoramstep_policy.routing import ROUTERS
-from marjoramstep_replay.launch.settings_files import ReplicaPlan
-from marjoramstep_replay.launch.settings_files import SettingsWriter
 from marjoramstep_wire.messages import Member
 from marjoramstep_wire.messages import MemberUpdate
 
@@ -270,16 +272,20 @@
 
 @when("a sub-call arrives while its parent runs and another after its end")
 def step_sub_calls(context: Any) -> None:
-    folder = Path(context.stack.enter_context(tempfile.TemporaryDirectory()))
-    writer = SettingsWriter(folder, [ReplicaPlan("r", "127.0.0.1:9")])
-    settings = read_settings(writer.write_node("node-under-test", "a", []))
-
     async def scenario() -> None:
-        node = NodeFactory(settings, CLOCK, EventLog(CLOCK, "test")).build()
-        node.tables.receive(table_reply())
-        entry, in_flight = node.entry, node.in_flight
+        in_flight = InFlightMap(RetryAllowance)
         context.dispatcher = FakeDispatcher()
-        entry._dispatcher = context.dispatcher
+        entry = EntryService(
+            CLOCK,
+            make_tables(),
+            in_flight,
+            ResendLedger(CLOCK),
+            PressureKeeper(PRESSURE_VARIANTS.get("reported")(CLOCK)),
+            SIZE_CLASS_VARIANTS.get("learned")(),
+            context.dispatcher,
+            RetryAllowance,
+            NodeMetrics(),
+        )
         context.parent = make_call("parent", deadline_ms=1_000.0, weight=777)
         context_id = in_flight.add(context.parent, CLOCK.now_ms())
 
--- a/features/steps/daemon_harness.py
+++ b/features/steps/daemon_harness.py
@@ -147,14 +147,9 @@
 def make_tables() -> TableKeeper:
     """Make a keeper with version 1 of the table in force."""
     tables = TableKeeper(CLOCK, EventLog(CLOCK, "test"))
-    tables.receive(table_reply())
-    return tables
-
-
-def table_reply() -> TableReply:
-    """Make the reply that brings version 1 of the table."""
     document = json.dumps(Table().to_json()).encode()
-    return TableReply(version=1, table_json=document, confirmed_ms=0.0)
+    tables.receive(TableReply(version=1, table_json=document, confirmed_ms=0.0))
+    return tables
 
 
 class Peer:
--- a/features/steps/daemon_requests_steps.py
+++ b/features/steps/daemon_requests_steps.py
@@ -318,14 +318,6 @@
     assert (reply.status, reply.outcome) == (status, "not-run"), reply
 
 
-@then("it is refused with status {status:d} and not reported as done")
-def step_expired(context: Any, status: int) -> None:
-    # The record of an earlier run may be deleted by then, so "unknown" is accurate too.
-    reply = context.reply
-    assert reply.status == status, reply
-    assert reply.outcome in ("not-run", "unknown"), reply
-
-
 @when("a settlement is sent with {kind}")
 def step_invalid_key(context: Any, kind: str) -> None:
     keys = {
