Choose a running store in the failure tests

Cause: the frozen and the draining store had fixed names, but an earlier scenario ends the store that the router has chosen, one time in seven the same one.

Change: both scenarios take a store that still runs.

--- a/features/steps/daemon_failures_steps.py
+++ b/features/steps/daemon_failures_steps.py
@@ -62,6 +62,17 @@
     context.bench = shared_bench(context, "failures", failure_document, [])
 
 
+def _running_store(bench: Bench) -> str:
+    """Return a store that no earlier scenario has ended."""
+    processes = bench.cluster.processes
+    names = [name for name in processes if name.startswith("store-")]
+    return next(
+        name
+        for name in names
+        if processes[name].is_running and processes[f"node-{name}"].is_running
+    )
+
+
 async def _settle(bench: Bench, key: str, deadline_ms: float = 4_000) -> Reply:
     return await bench.call(
         GATE, "store", "/slow", key=key, data=b"1", deadline_ms=deadline_ms
@@ -135,7 +146,7 @@
     bench: Bench = context.bench
 
     async def scenario() -> None:
-        node = "node-store-7"
+        node = f"node-{_running_store(bench)}"
         bench.signal(node, signal.SIGSTOP)
         keys = [new_key() for _ in range(40)]
         try:
@@ -165,7 +176,7 @@
 @when("a store server drains while calls go on")
 def step_drain(context: Any) -> None:
     bench: Bench = context.bench
-    server = "store-6"
+    server = _running_store(bench)
     control = bench.address(server, "control_address")
     metrics = bench.address(f"node-{server}", "metrics_address")
 
