--- a/features/state/machine.feature
+++ b/features/state/machine.feature
@@ -48,6 +48,14 @@
       | 12   |
       | 13   |
 
+  Scenario: A snapshot encoded in steps is the state at its beginning
+    Guards against a snapshot that mixes the state before and after later commands.
+    Given a fresh replicated state machine
+    When 800 random state commands are applied with seed 31
+    And a snapshot is encoded in steps while 400 more are applied with seed 32
+    Then the snapshot encoded in steps equals the one taken at its beginning
+    And the state has changed since then
+
   Scenario: A damaged snapshot is refused and leaves the state as it was
     Given a fresh replicated state machine
     When 200 random state commands are applied with seed 21
--- a/features/steps/state_machine_steps.py
+++ b/features/steps/state_machine_steps.py
@@ -275,3 +275,34 @@
     data = context.replica.machine.snapshot()
     context.replica.restart()
     assert context.replica.machine.snapshot() == data
+
+
+@when(
+    "a snapshot is encoded in steps while {count:d} more are applied with seed {seed:d}"
+)
+def step_encode(context: Any, count: int, seed: int) -> None:
+    rng = random.Random(seed)
+    replica = context.replica
+    context.whole_snapshot = replica.machine.snapshot()
+    session = replica.machine.begin_snapshot()
+    context.stepped_snapshot = None
+    now_ms = replica.machine.watermark_ms
+    for number in range(count):
+        replica.run(random_command(rng, now_ms + number))
+        if context.stepped_snapshot is None and number % 2:
+            context.stepped_snapshot = session.step()
+    while context.stepped_snapshot is None:
+        context.stepped_snapshot = session.step()
+    replica.machine.end_snapshot()
+
+
+@then("the snapshot encoded in steps equals the one taken at its beginning")
+def step_equal(context: Any) -> None:
+    assert context.stepped_snapshot == context.whole_snapshot
+
+
+@then("the state has changed since then")
+def step_changed(context: Any) -> None:
+    claims = orjson.loads(context.whole_snapshot)["claims"]
+    now = orjson.loads(context.replica.machine.snapshot())["claims"]
+    assert now != claims
--- a/packages/consensus/src/marjoramstep_consensus/replica_core.py
+++ b/packages/consensus/src/marjoramstep_consensus/replica_core.py
@@ -287,14 +287,15 @@
         leadership.change(self.membership.without(replica_id))
         return self._finish()
 
-    def compact(self, data: bytes) -> list[Effect]:
+    def compact(self, data: bytes, index: int | None = None) -> list[Effect]:
         """Store a snapshot of the state machine and drop the log before it.
 
-        :param data: state after :attr:`applied_index`
+        :param data: state after an applied entry
+        :param index: index of that entry, :attr:`applied_index` by default
         :return: effects in order
         """
         state = self._state
-        index = state.applied_index
+        index = state.applied_index if index is None else index
         term = state.log.term_at(index)
         if term is None or index <= state.log.snapshot.last_index:
             return []
--- a/packages/consensus/src/marjoramstep_consensus/replica_driver.py
+++ b/packages/consensus/src/marjoramstep_consensus/replica_driver.py
@@ -57,11 +57,16 @@
     :param apply: takes a committed entry of kind ``NORMAL`` with its index and log time
     :param restore: replaces the state by a snapshot's data
     :param snapshot: returns the state as bytes
+    :param begin_snapshot: begins a snapshot that is encoded in steps; used in place of
+        ``snapshot`` if given
+    :param end_snapshot: called when the snapshot begun is complete or given up
     """
 
     apply: Callable[[Entry], object]
     restore: Callable[[bytes], None]
     snapshot: Callable[[], bytes]
+    begin_snapshot: Callable[[], Callable[[], bytes | None]] | None = None
+    end_snapshot: Callable[[], None] | None = None
 
 
 @dataclass
@@ -96,9 +101,11 @@
     ) -> None:
         self.core = core
         self._machine = machine
-        self._snapshot_entries = snapshot_entries
+        self.snapshot_entries = snapshot_entries
         self._snapshot_index = core.applied_index
         self._waiting: dict[int, tuple[int, object]] = {}
+        self._snapshot_step: Callable[[], bytes | None] | None = None
+        self._encoding_index = 0
 
     def propose(self, proposals: list[tuple[object, bytes]]) -> Work:
         """Propose a batch of payloads.
@@ -123,10 +130,39 @@
         work = Work()
         self._sort(effects, work)
         index = self.core.applied_index
-        if index - self._snapshot_index >= self._snapshot_entries:
+        if index - self._snapshot_index >= self.snapshot_entries:
+            self._begin_snapshot(index, work)
+        return work
+
+    @property
+    def is_encoding(self) -> bool:
+        """Whether a snapshot waits for :meth:`encode_step`."""
+        return self._snapshot_step is not None
+
+    def encode_step(self) -> Work:
+        """Encode a part of the snapshot that was begun.
+
+        :return: work for the tasks, after the last step the write of the snapshot
+        """
+        work = Work()
+        data = self._snapshot_step() if self._snapshot_step is not None else None
+        if data is not None:
+            self._end_snapshot()
+            self._sort(self.core.compact(data, self._encoding_index), work)
+        return work
+
+    def _begin_snapshot(self, index: int, work: Work) -> None:
+        if self._machine.begin_snapshot is None:
             self._snapshot_index = index
             self._sort(self.core.compact(self._machine.snapshot()), work)
-        return work
+        elif self._snapshot_step is None:
+            self._snapshot_index = self._encoding_index = index
+            self._snapshot_step = self._machine.begin_snapshot()
+
+    def _end_snapshot(self) -> None:
+        self._snapshot_step = None
+        if self._machine.end_snapshot is not None:
+            self._machine.end_snapshot()
 
     def _sort(self, effects: list[Effect], work: Work) -> None:
         for effect in effects:
@@ -158,6 +194,7 @@
             work.results.append(ProposalResult(token, ProposalState.LOST))
 
     def _install(self, snapshot: Snapshot, work: Work) -> None:
+        self._end_snapshot()
         self._machine.restore(snapshot.data)
         self._snapshot_index = snapshot.last_index
         self._give_up(work)
--- a/packages/daemon/src/marjoramstep_daemon/control/replica.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica.py
@@ -52,6 +52,8 @@
     from .replica_links import ReplicaLinks
 
 SNAPSHOT_ENTRIES = 5_000
+# Between two steps of a snapshot, so that messages are served meanwhile.
+ENCODE_PAUSE_SECONDS = 0.005
 SUBMIT_TIMEOUT_SECONDS = 5.0
 PROPOSAL_LIMIT = 20_000
 ADVANCE_TIME_SECONDS = 10.0
@@ -115,7 +117,13 @@
         self.contact = QuorumContact(self.core, clock, self._timing)
         self._driver = ReplicaDriver(
             self.core,
-            StateMachineCalls(self._apply, self._restore, self.machine.snapshot),
+            StateMachineCalls(
+                self._apply,
+                self._restore,
+                self.machine.snapshot,
+                lambda: self.machine.begin_snapshot().step,
+                self.machine.end_snapshot,
+            ),
             SNAPSHOT_ENTRIES,
         )
         self._pool = ThreadPoolExecutor(max_workers=1, thread_name_prefix="persist")
@@ -124,6 +132,7 @@
         self._writes: set[asyncio.Task[None]] = set()
         self._submitted: set[Token] = set()
         self._timer: asyncio.TimerHandle | None = None
+        self._encode_timer: asyncio.TimerHandle | None = None
         self._table_version = self.machine.table.version
         self._reported_role = (ReplicaRole.FOLLOWER, -1)
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
@@ -248,8 +257,9 @@
 
     async def close(self) -> None:
         """Stop; waits for a write that is under way."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._encode_timer):
+            if timer is not None:
+                timer.cancel()
         loop = asyncio.get_running_loop()
         await loop.run_in_executor(None, self._pool.shutdown)
         self._folder.close()
@@ -300,6 +310,19 @@
             _fail(self._reads.get(read_id), NotLeaderError(self.leader_address))
         self._report_role()
         self._schedule_tick()
+        self._schedule_encoding()
+
+    def _schedule_encoding(self) -> None:
+        # Encoding a snapshot costs as much as the state is large, so the entries
+        # between two snapshots grow with it.
+        self._driver.snapshot_entries = max(SNAPSHOT_ENTRIES, self.machine.claim_count)
+        if self._driver.is_encoding and self._encode_timer is None:
+            loop = asyncio.get_running_loop()
+            self._encode_timer = loop.call_later(ENCODE_PAUSE_SECONDS, self._encode)
+
+    def _encode(self) -> None:
+        self._encode_timer = None
+        self._carry_out(self._driver.encode_step())
 
     def _on_written(self, task: asyncio.Task[None]) -> None:
         self._writes.discard(task)
--- a/packages/replay/src/marjoramstep_replay/measure/snapshot_block.py
+++ b/packages/replay/src/marjoramstep_replay/measure/snapshot_block.py
@@ -27,7 +27,8 @@
     """Measure the calls that run on the event loop of a replica.
 
     :param claims: number of finished claims, each with an answer of 200 bytes
-    :return: milliseconds of ``snapshot`` and ``restore``, size of the snapshot
+    :return: milliseconds of ``snapshot`` and ``restore``, of the longest step of a
+        snapshot encoded in steps, and the size of the snapshot
     """
     now_ms = int(time.time() * 1000)
     machine = StateMachine()
@@ -54,8 +55,17 @@
     middle = time.perf_counter()
     StateMachine().restore(data)
     after = time.perf_counter()
+    session = machine.begin_snapshot()
+    longest_ms = 0.0
+    stepped = None
+    while stepped is None:
+        began = time.perf_counter()
+        stepped = session.step()
+        longest_ms = max(longest_ms, (time.perf_counter() - began) * 1000)
+    machine.end_snapshot()
     return {
         "claims": claims,
+        "longest_step_ms": round(longest_ms, 1),
         "bytes": len(data),
         "snapshot_ms": round((middle - before) * 1000, 1),
         "restore_ms": round((after - middle) * 1000, 1),
--- a/packages/state/src/marjoramstep_state/audit.py
+++ b/packages/state/src/marjoramstep_state/audit.py
@@ -257,13 +257,16 @@
         self._sizes.append(size_bytes)
         self._bytes += size_bytes
 
-    def to_json(self) -> dict[str, Any]:
-        """Return the trail as JSON values."""
-        return {
+    def parts(self) -> tuple[dict[str, Any], tuple[AuditEntry, ...]]:
+        """Return what a snapshot needs.
+
+        :return: the fields but the entries as JSON values, and the entries
+        """
+        head = {
             "dropped_sequence": self._dropped_sequence,
             "dropped_sha256": self._dropped_sha256,
-            "entries": [entry.to_json() for entry in self._entries],
         }
+        return head, tuple(self._entries)
 
     @classmethod
     def from_json(cls, document: Any, limits: StateLimits) -> AuditTrail:
--- a/packages/state/src/marjoramstep_state/claims/store.py
+++ b/packages/state/src/marjoramstep_state/claims/store.py
@@ -11,6 +11,7 @@
 from ..errors import InvalidSnapshotError
 from ..results import ClaimResult
 from ..results import ClaimVerdict
+from .encoding import ClaimsEncoding
 from .key import PARTITION_COUNT
 from .key import issued_ms_of
 from .key import partition_of
@@ -35,6 +36,7 @@
         self._limits = limits
         self._partitions = [ClaimPartition(limits) for _ in range(PARTITION_COUNT)]
         self._prune_cursor = 0
+        self._encoding: ClaimsEncoding | None = None
 
     def __len__(self) -> int:
         return sum(map(len, self._partitions))
@@ -58,7 +60,7 @@
         issued_ms, refusal = self._check(key, watermark_ms)
         if refusal is not None:
             return refusal
-        partition = self._partitions[partition_of(key)]
+        partition = self._changing(partition_of(key))
         if isinstance(command, Claim):
             return partition.claim(command, issued_ms)
         if isinstance(command, EndClaim):
@@ -84,12 +86,29 @@
         :return: number of removed records
         """
         before_ms = watermark_ms - self._limits.key_lifetime_ms
-        partition = self._partitions[self._prune_cursor]
+        partition = self._changing(self._prune_cursor)
         removed = partition.prune(before_ms, self._limits.prune_records)
         if removed < self._limits.prune_records:
             self._prune_cursor = (self._prune_cursor + 1) % PARTITION_COUNT
         return removed
 
+    def begin_encoding(self) -> ClaimsEncoding:
+        """Begin to encode the claims as they are now.
+
+        :return: the encoding; the one begun before is given up
+        """
+        self._encoding = ClaimsEncoding(self._partitions, self._prune_cursor)
+        return self._encoding
+
+    def end_encoding(self) -> None:
+        """Take note that the encoding is complete or not needed any more."""
+        self._encoding = None
+
+    def _changing(self, number: int) -> ClaimPartition:
+        if self._encoding is not None:
+            self._encoding.capture(number)
+        return self._partitions[number]
+
     def _check(
         self, key: RequestKey, watermark_ms: int
     ) -> tuple[int, ClaimResult | None]:
@@ -104,18 +123,6 @@
             return 0, ClaimResult(ClaimVerdict.EXPIRED, "the key's lifetime is over")
         return issued_ms, None
 
-    def to_json(self) -> dict[str, Any]:
-        """Return the claims as JSON values.
-
-        :return: the partitions by number, without empty ones, and the prune cursor
-        """
-        partitions = {
-            str(number): partition.to_json()
-            for number, partition in enumerate(self._partitions)
-            if len(partition)
-        }
-        return {"partitions": partitions, "prune_cursor": self._prune_cursor}
-
     @classmethod
     def from_json(cls, document: Any, limits: StateLimits) -> ClaimStore:
         """Build the claims from JSON values.
--- a/packages/state/src/marjoramstep_state/machine.py
+++ b/packages/state/src/marjoramstep_state/machine.py
@@ -31,6 +31,7 @@
 from .results import EditResult
 from .results import EditVerdict
 from .results import RecordedResult
+from .snapshot_session import SnapshotSession
 
 
 if TYPE_CHECKING:
@@ -234,22 +235,42 @@
         )
         return RecordedResult(entry.sequence)
 
-    def snapshot(self) -> bytes:
-        """Write the whole state; equal states give equal bytes.
+    def begin_snapshot(self) -> SnapshotSession:
+        """Begin a snapshot of the present state, to be encoded in steps.
 
-        :return: JSON
+        Commands may be applied between the steps. A session that was begun before, or
+        before :meth:`restore`, must not be used any more.
+
+        :return: the session
         """
-        document = {
+        audit_head, audit_entries = self._audit.parts()
+        head = {
             "format": SNAPSHOT_FORMAT,
             "applied_index": self._applied_index,
             "watermark_ms": self._watermark_ms,
             "invalid_count": self._invalid_count,
             "edits": self._edits.to_json(),
-            "claims": self._claims.to_json(),
             "quarantine": self._quarantine.to_json(),
-            "audit": self._audit.to_json(),
         }
-        return orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+        claims = self._claims.begin_encoding()
+        return SnapshotSession(
+            self._applied_index, head, claims, audit_head, audit_entries
+        )
+
+    def end_snapshot(self) -> None:
+        """Take note that no session is in use."""
+        self._claims.end_encoding()
+
+    def snapshot(self) -> bytes:
+        """Write the whole state at once; equal states give equal bytes.
+
+        :return: JSON
+        """
+        session = self.begin_snapshot()
+        while (data := session.step()) is None:
+            pass
+        self.end_snapshot()
+        return data
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state; on an error the state is left as it was.
