Try a lower concurrency limit before lowering it by the whole slowdown

Cause: when latency jumped at unchanged concurrency, the limit fell at once by the factor of the latency. In the 30 s overload trace the slowed service lost no capacity, so its limit fell from 7 to 3, and with few slots the windows of 72 calls took seconds each: it was still at 3 to 5 when the trace ended. Ruled out: leaving the limit as it is, which fails the scenario of lost capacity; a trial at 0.8 of the concurrency, which needs 20 windows to get down. Change: a trial at half the concurrency, in a window of 3 turns (8 to 24 calls), decides whether throughput halves too; the margin of that decision is as wide as the error of the short window.

--- a/packages/policy/src/marjoramstep_policy/admission/limit.py
+++ b/packages/policy/src/marjoramstep_policy/admission/limit.py
@@ -18,6 +18,13 @@
 # The limit guessed after a jump of the latency may be far too low. A shorter window
 # shows this sooner, and its error is small against the size of that change.
 JUMP_WINDOW_SAMPLES = 24
+# With few slots, 24 calls at a lowered limit take seconds in which half the throughput
+# may be lost, so a trial of such a limit lasts only some turns.
+JUMP_WINDOW_TURNS = 3
+JUMP_WINDOW_LEAST = 8
+# A trial at half the concurrency shows whether throughput halves too.
+JUMP_TRIAL_FACTOR = 0.5
+SHORT_WINDOW_MARGIN = 0.25
 WINDOW_TURNS = 2
 # Two windows show the effect of concurrency only if it differs by at least 8%.
 MIN_CONCURRENCY_CHANGE_LOG = 0.08
@@ -65,6 +72,7 @@
         # Last calls of the window, to see whether a slowdown in it is over.
         self._recent: deque[tuple[RowName, float]] = deque(maxlen=JUMP_WINDOW_SAMPLES)
         self._min_samples = MIN_WINDOW_SAMPLES
+        self._was_short = False
         self._previous: tuple[float, dict[RowName, list[float]]] | None = None
         # Logarithm of the latency relative to the first window, and its lowest value.
         self._level = 0.0
@@ -128,6 +136,7 @@
         duration_ms = max(now_ms - self._window_start_ms, 1e-6)
         concurrency = max(self._area / duration_ms, 1e-3)
         before = self.value
+        self._was_short = self._min_samples < MIN_WINDOW_SAMPLES
         self._min_samples = MIN_WINDOW_SAMPLES
         self._learn(concurrency)
         self._sums = {}
@@ -171,9 +180,10 @@
         if abs(moved) >= MIN_CONCURRENCY_CHANGE_LOG:
             self._move_to_knee(previous, current, change)
         elif change > LATENCY_JUMP_LOG:
-            # If capacity was lost, the knee moved down by the factor of the latency.
-            self._limit = current * math.exp(-change)
-            self._min_samples = JUMP_WINDOW_SAMPLES
+            # Either each call takes longer, or capacity was lost and the knee moved
+            # down. A trial of a lower limit tells the two apart.
+            self._limit = min(current * JUMP_TRIAL_FACTOR, current - 1.0)
+            self._shorten_window()
         elif change < -LATENCY_JUMP_LOG:
             self._go_up(current)
         elif current < SATURATED_SHARE * self.value:
@@ -196,12 +206,20 @@
                 self._limit = max(self._limit, high) + 1.0
             return
         self._up_factor = UP_FACTOR
-        if knee <= low * (1.0 + MIN_CONCURRENCY_CHANGE_LOG):
+        # The error of a short window is larger, and a limit that stays too high after a
+        # loss of capacity costs more than one further step down.
+        margin = SHORT_WINDOW_MARGIN if self._was_short else MIN_CONCURRENCY_CHANGE_LOG
+        if knee <= low * (1.0 + margin):
             self._limit = min(low * DOWN_FACTOR, low - 1.0)
+            self._shorten_window()
         else:
             self._limit = knee
             self._at_knee = True
 
+    def _shorten_window(self) -> None:
+        turns = int(JUMP_WINDOW_TURNS * self._limit)
+        self._min_samples = min(max(turns, JUMP_WINDOW_LEAST), JUMP_WINDOW_SAMPLES)
+
     def _go_up(self, start: float) -> None:
         self._limit = max(start * self._up_factor, start + 1.0)
         self._up_factor = min(self._up_factor * UP_FACTOR, MAX_UP_FACTOR)
