--- a/packages/replay/src/marjoramstep_replay/capacity/page.py
+++ b/packages/replay/src/marjoramstep_replay/capacity/page.py
@@ -153,7 +153,7 @@
         "More nodes were not measured.",
         f"- Memory: {figures.replica_mib:.0f} MiB with 40 nodes and no claims.",
         "- What will carry the processor time: heartbeats and pings take most of the "
-        "slope, so an interval of 3 s in place of 1 s and 2 s, with leases of 9 s, cuts "
+        "slope, so intervals of 3 s in place of 1 s and 2 s, with leases of 9 s, cut "
         "it to about a third (an estimate, not measured). A draining backend server is "
         "refused work by its own node, so that I6 does not depend on the lease.",
         "- Does not carry yet: the table is held by one group, and its replicas accept "
