Bring the design page and the protocol's comments up to date

The added latency had been measured on a busy machine only. Conclusion: the target for the whole path is not met on this machine.

--- a/packages/replay/src/marjoramstep_replay/capacity/page.py
+++ b/packages/replay/src/marjoramstep_replay/capacity/page.py
@@ -235,7 +235,7 @@
         "",
         "0.58 ms at p99 for both nodes is not reached on the measuring machine: see "
         "[measurements-latency.md](measurements-latency.md). The largest costs are the "
-        "HTTP legs; the decisions add 0.06 ms at the median.",
+        "HTTP legs; the decisions add 0.04 ms at the median.",
     ]
 
 
--- a/packages/wire/src/marjoramstep_wire/messages.thrift
+++ b/packages/wire/src/marjoramstep_wire/messages.thrift
@@ -172,8 +172,9 @@
   6: required string fingerprint
 }
 
-/** verdict: granted, running, done, closed, expired, bad-key, key-reused,
-    not-leader, unavailable. */
+/** verdict: granted, running, done, abandoned, closed, none, recorded, not-holder,
+    expired, bad-key, key-reused, unavailable, not-leader. "expired" says that the key
+    cannot be claimed any more, not that it never ran. */
 struct ClaimReply {
   1: required i64 request_id
   2: required string verdict
@@ -279,7 +280,7 @@
   5: required bool accepted
 }
 
-/** An empty replica asks to be admitted; the leader answers by starting replication. */
+/** An empty replica asks to be admitted; the leader lists it until an operator admits it. */
 struct JoinRequest {
   1: required string replica_id
   2: required string address
