Share the report of a changed replica set between two commands

Cause: the commands that admit and remove a replica repeated the same lines. Change: report_change in the command's replicas module; one error object for all commits that end when a replica fails.

--- a/packages/command/src/marjoramstep_command/commands/replicas_admit.py
+++ b/packages/command/src/marjoramstep_command/commands/replicas_admit.py
@@ -5,12 +5,9 @@
 from typing import Any
 
 from ..client import ControlClient
-from ..errors import ExitStatus
-from ..output import write_json
-from ..output import write_line
 from ..registry import command
 from ..replicas import change_replicas
-from ..replicas import warn_of_losses
+from ..replicas import report_change
 from ..session import DEFAULT_TIMEOUT_MS
 from ..session import run_session
 
@@ -39,9 +36,4 @@
     document = run_session(
         send, control=control, token_file=token_file, timeout_ms=timeout_ms
     )
-    if json:
-        write_json(document)
-    else:
-        write_line(f"admit {replica_id}: accepted")
-    warn_of_losses(document)
-    return ExitStatus.OK
+    return report_change(document, replica_id, "admit", as_json=json)
--- a/packages/command/src/marjoramstep_command/replicas.py
+++ b/packages/command/src/marjoramstep_command/replicas.py
@@ -10,10 +10,13 @@
 
 from marjoramstep_core.errors import UnavailableError
 
+from .errors import ExitStatus
 from .errors import UnknownOutcomeError
 from .errors import UsageError
 from .errors import WaitTimedOutError
 from .output import write_error
+from .output import write_json
+from .output import write_line
 
 
 if TYPE_CHECKING:
@@ -54,6 +57,25 @@
         ) from error
 
 
+def report_change(
+    document: dict[str, Any], replica_id: str, action: str, *, as_json: bool
+) -> ExitStatus:
+    """Write the answer to an accepted change and warn of what it means.
+
+    :param document: the decoded answer
+    :param replica_id: the replica
+    :param action: ``admit`` or ``remove``
+    :param as_json: whether to write the answer as JSON
+    :return: exit status
+    """
+    if as_json:
+        write_json(document)
+    else:
+        write_line(f"{action} {replica_id}: accepted")
+    warn_of_losses(document)
+    return ExitStatus.OK
+
+
 async def wait_for_replicas(
     client: ControlClient, survives: int, wait_ms: int
 ) -> dict[str, Any]:
--- a/packages/daemon/src/marjoramstep_daemon/control/replica.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica.py
@@ -347,11 +347,10 @@
         """
         if not self.failure.done():
             self.failure.set_exception(error)
+        # What was submitted may be stored here or at another replica.
+        unknown = UnavailableError("the replica has failed", step="commit")
         for future in list(self._submitted):
-            # It may be stored here or at another replica.
-            fail_future(
-                future, UnavailableError("the replica has failed", step="commit")
-            )
+            fail_future(future, unknown)
 
     def _apply(self, entry: Entry) -> ApplyResult:
         result = self.machine.apply(LogIndex(entry.index), entry.payload)
