--- a/packages/core/src/marjoramstep_core/states.py
+++ b/packages/core/src/marjoramstep_core/states.py
@@ -28,6 +28,7 @@
     SHUTTING_DOWN = "shutting-down"
     NO_SERVER = "no-server"
     NO_TABLE = "no-table"
+    NO_ROUTE = "no-route"
     NO_CLAIM_QUORUM = "no-claim-quorum"
     BAD_REQUEST = "bad-request"
     BAD_KEY = "bad-key"
@@ -43,6 +44,7 @@
     BODY_TOO_LARGE = "body-too-large"
     CONNECTION_LOST = "connection-lost"
     SERVER_CRASHED = "server-crashed"
+    BAD_ANSWER = "bad-answer"
     ANSWER_NOT_STORED = "answer-not-stored"
     INTERNAL = "internal"
 
--- a/packages/core/src/marjoramstep_core/table/__init__.py
+++ b/packages/core/src/marjoramstep_core/table/__init__.py
@@ -7,6 +7,7 @@
 from .matcher import RowMatcher
 from .row import Row
 from .row import SizeClassRule
+from .row import TargetShare
 from .table import DEFAULT_ROW_NAME
 from .table import Table
 
@@ -18,5 +19,6 @@
     "RowMatcher",
     "SizeClassRule",
     "Table",
+    "TargetShare",
     "apply_operations",
 ]
--- a/packages/core/src/marjoramstep_core/table/columns.py
+++ b/packages/core/src/marjoramstep_core/table/columns.py
@@ -14,6 +14,8 @@
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]{0,252}")
+TARGET_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}:[0-9]{1,9}")
 PATH_LIMIT_CHARACTERS = 512
 HOUR_MS = 3_600_000
 MEBIBYTE = 1024 * 1024
@@ -105,6 +107,25 @@
     return _parse_name(value)
 
 
+def _parse_host(value: object) -> CellValue:
+    if value == "*":
+        return "*"
+    if not isinstance(value, str) or not HOST_PATTERN.fullmatch(value):
+        raise CellError("expected * or a host name of at most 253 characters")
+    return value.lower()
+
+
+def _parse_targets(value: object) -> CellValue:
+    if value == "":
+        return ""
+    parts = value.split(",") if isinstance(value, str) else []
+    if not parts or not all(TARGET_PATTERN.fullmatch(part) for part in parts):
+        raise CellError("expected service:share pairs such as archive:90,panels:10")
+    if not any(int(part.rpartition(":")[2]) for part in parts):
+        raise CellError("expected at least one share above 0")
+    return str(value)
+
+
 def _parse_path_prefix(value: object) -> CellValue:
     if (
         not isinstance(value, str)
@@ -121,6 +142,19 @@
 
 _add("name", "", "Unique name of the row.", _parse_name)
 _add("service", "*", "Service that the row applies to, or *.", _parse_service)
+_add(
+    "host",
+    "*",
+    "Host that callers name; a row with a host is found by host and path, and its "
+    "requests go to its targets.",
+    _parse_host,
+)
+_add(
+    "targets",
+    "",
+    "Services that requests of a row with a host go to, with their shares.",
+    _parse_targets,
+)
 _add("method", "*", "HTTP method, or *.", _choice(*METHODS))
 _add("path_prefix", "/", "Start of the request's path.", _parse_path_prefix)
 _add(
@@ -136,12 +170,25 @@
     "once under a durable claim and needs a request key.",
     _parse_bool,
 )
+_add(
+    "claimed",
+    True,
+    "Whether a row that is not repeatable runs under a durable claim. If false, an "
+    "attempt is never sent again once it may have run.",
+    _parse_bool,
+)
 _add(
     "deadline_ms",
     5_000,
     "Time for the whole request; a caller may ask for less, not for more.",
     _integer(10, HOUR_MS),
 )
+_add(
+    "objective_ms",
+    0,
+    "Time within which an answer has its full value; 0 for the deadline.",
+    _integer(0, HOUR_MS),
+)
 _add(
     "concurrency_share_percent",
     100,
@@ -190,3 +237,15 @@
     "Largest answer kept for resends of a request that may not be repeated.",
     _integer(0, MEBIBYTE),
 )
+_add(
+    "header_timeout_ms",
+    30_000,
+    "Longest time for the head of a request; the value of the row default counts.",
+    _integer(10, HOUR_MS),
+)
+_add(
+    "idle_timeout_ms",
+    75_000,
+    "Longest idle time of a caller's connection; the value of the row default counts.",
+    _integer(10, HOUR_MS),
+)
--- a/packages/core/src/marjoramstep_core/table/matcher.py
+++ b/packages/core/src/marjoramstep_core/table/matcher.py
@@ -24,8 +24,11 @@
     def __init__(self, table: Table) -> None:
         self._default = table.rows[DEFAULT_ROW_NAME]
         self._by_service: dict[str, list[Row]] = {}
+        self._by_host: dict[str, dict[str, Row]] = {}
         for row in table.rows.values():
-            if row.name != DEFAULT_ROW_NAME:
+            if row.host != ANY:
+                self._by_host.setdefault(row.host, {})[row.path_prefix] = row
+            elif row.name != DEFAULT_ROW_NAME:
                 self._by_service.setdefault(row.service, []).append(row)
         for rows in self._by_service.values():
             rows.sort(key=_specificity)
@@ -46,6 +49,30 @@
                     return row
         return self._default
 
+    def match_host(self, host: str, path: str) -> Row | None:
+        """Return the row of a request that names a host.
+
+        :param host: host name without a port
+        :param path: path with or without a query
+        :return: the row with the longest prefix of the path, or None
+        """
+        rows = self._by_host.get(host.lower())
+        if rows is None:
+            return None
+        path = path.partition("?")[0]
+        end = path.rfind("/") + 1
+        while end > 0:
+            row = rows.get(path[:end])
+            if row is not None:
+                return row
+            end = path.rfind("/", 0, end - 1) + 1
+        return self._match_prefix(rows, path)
+
+    def _match_prefix(self, rows: dict[str, Row], path: str) -> Row | None:
+        # Prefixes that do not end with a slash can begin a path anywhere.
+        found = [row for prefix, row in rows.items() if path.startswith(prefix)]
+        return max(found, key=lambda row: len(row.path_prefix), default=None)
+
 
 def _specificity(row: Row) -> tuple[int, bool, str]:
     return (-len(row.path_prefix), row.method == ANY, row.name)
--- a/packages/core/src/marjoramstep_core/table/row.py
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -6,9 +6,11 @@
 from dataclasses import dataclass
 from enum import Enum
 from enum import unique
+from functools import cached_property
 from typing import TYPE_CHECKING
 
 from ..errors import InvalidInputError
+from ..ids import ServiceName
 from .columns import COLUMNS
 from .columns import CellError
 from .columns import CellValue
@@ -16,7 +18,6 @@
 
 if TYPE_CHECKING:
     from ..ids import RowName
-    from ..ids import ServiceName
 
 
 @unique
@@ -58,17 +59,33 @@
         self.faults = faults
 
 
+@dataclass(frozen=True)
+class TargetShare:
+    """One target of a row.
+
+    :param service: service that requests go to
+    :param share: relative to the sum of the row's shares; 0 for none
+    """
+
+    service: ServiceName
+    share: int
+
+
 @dataclass(frozen=True)
 class Row:
     """A kind of call with its weight and limits; see the columns for each field."""
 
     name: RowName
     service: ServiceName
+    host: str
+    targets: str
     method: str
     path_prefix: str
     weight: int
     repeatable: bool
+    claimed: bool
     deadline_ms: int
+    objective_ms: int
     concurrency_share_percent: int
     size_class: SizeClassRule
     expected_ms: int
@@ -77,6 +94,21 @@
     queue_wait_ms: int
     body_limit_bytes: int
     stored_answer_limit_bytes: int
+    header_timeout_ms: int
+    idle_timeout_ms: int
+
+    @property
+    def needs_claim(self) -> bool:
+        """Whether a request of this row runs under a durable claim."""
+        return self.claimed and not self.repeatable
+
+    @cached_property
+    def shares(self) -> tuple[TargetShare, ...]:
+        """Services that requests of this row go to, with their shares."""
+        pairs = (part.rpartition(":") for part in self.targets.split(",") if part)
+        return tuple(
+            TargetShare(ServiceName(name), int(share)) for name, _, share in pairs
+        )
 
     @classmethod
     def from_cells(cls, cells: dict[str, object]) -> Row:
--- a/packages/core/src/marjoramstep_core/table/table.py
+++ b/packages/core/src/marjoramstep_core/table/table.py
@@ -31,6 +31,11 @@
     version: TableVersion = TableVersion(1)
     rows: dict[RowName, Row] = field(default_factory=_default_rows)
 
+    @property
+    def default_row(self) -> Row:
+        """The row of requests that no other row matches."""
+        return self.rows[DEFAULT_ROW_NAME]
+
     def to_json(self) -> dict[str, Any]:
         """Return the table as JSON values.
 
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
@@ -0,0 +1,96 @@
+"""Connections to the own backend server."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import ConnectionFailedError
+
+from .server_connection import ServerConnection
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+Address = tuple[str, int]
+CONNECT_TIMEOUT_SECONDS = 1.0
+
+
+class NotConnectedError(ConnectionFailedError):
+    """No connection could be opened, so nothing was sent."""
+
+
+class ConnectionPool:
+    """Reuses the connection that was free last, so that the others can run out.
+
+    :param address: address of the backend server
+    :param limit: largest number of connections
+    :param on_open: called for each new connection
+    """
+
+    def __init__(
+        self, address: Address, limit: int, on_open: Callable[[], None] = lambda: None
+    ) -> None:
+        self._address = address
+        self._peer = f"{address[0]}:{address[1]}"
+        self._limit = limit
+        self._on_open = on_open
+        self._free: list[ServerConnection] = []
+        self._open: set[ServerConnection] = set()
+        self._is_closed = False
+
+    async def acquire(self) -> ServerConnection:
+        """Return a connection that is free, or open one.
+
+        :return: the connection, which is the caller's until it is free again
+        :raises NotConnectedError: if none can be opened
+        """
+        while self._free:
+            connection = self._free.pop()
+            if connection.is_usable:
+                return connection
+            connection.abort()
+        if len(self._open) >= self._limit:
+            raise self._error("the limit of connections is reached")
+        return await self._connect()
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._is_closed = True
+        for connection in list(self._open):
+            connection.abort()
+
+    async def _connect(self) -> ServerConnection:
+        loop = asyncio.get_running_loop()
+        host, port = self._address
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
+                _, connection = await loop.create_connection(
+                    lambda: ServerConnection(
+                        self._peer, self._on_free, self._on_closed
+                    ),
+                    host,
+                    port,
+                )
+        except (OSError, TimeoutError) as error:
+            raise self._error(f"cannot connect: {error or 'timed out'}") from error
+        self._open.add(connection)
+        self._on_open()
+        return connection
+
+    def _on_free(self, connection: ServerConnection) -> None:
+        if self._is_closed:
+            connection.abort()
+        else:
+            self._free.append(connection)
+
+    def _on_closed(self, connection: ServerConnection) -> None:
+        self._open.discard(connection)
+        if connection in self._free:
+            self._free.remove(connection)
+
+    def _error(self, text: str) -> NotConnectedError:
+        return NotConnectedError(
+            text, step="connect to backend server", peer=self._peer
+        )
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/own_server.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/own_server.py
@@ -14,6 +14,7 @@
 from marjoramstep_wire.messages import Member
 
 from .client import BackendServerClient
+from .protocol import NativeBackendProtocol
 
 
 if TYPE_CHECKING:
@@ -22,6 +23,8 @@
     from marjoramstep_core.clock import Clock
     from marjoramstep_core.ids import NodeId
 
+    from .protocol import BackendProtocol
+
 Address = tuple[str, int]
 ANNOUNCE_TIMEOUT_MS = 3_000.0
 SLOT_LIMIT = 100_000
@@ -37,6 +40,7 @@
     :param slots: requests that it runs at the same time
     :param connections: connections that it accepts
     :param incarnation: rises with each start of the backend server
+    :param instance: name that the backend server gives to its incarnation
     """
 
     service: ServiceName
@@ -45,6 +49,7 @@
     connections: int
     state: ServerState
     incarnation: int
+    instance: str = ""
 
     @classmethod
     def from_json(cls, document: object) -> Announcement:
@@ -102,11 +107,21 @@
 
     :param clock: clock of the node
     :param node_id: id of the node, also the id of its one backend server
+    :param protocol: the HTTP that the backend server speaks
+    :param timeout_ms: time without an announcement after which it counts as gone
     """
 
-    def __init__(self, clock: Clock, node_id: NodeId) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        node_id: NodeId,
+        protocol: BackendProtocol | None = None,
+        timeout_ms: float = ANNOUNCE_TIMEOUT_MS,
+    ) -> None:
         self._clock = clock
         self._node_id = node_id
+        self._protocol = protocol or NativeBackendProtocol()
+        self._timeout_ms = timeout_ms
         self._is_leaving = False
         self.on_change: Callable[[], None] = lambda: None
         self.peer_address: Address = ("", 0)
@@ -114,6 +129,7 @@
         self._sequence = 0
         self.announcement: Announcement | None = None
         self.client: BackendServerClient | None = None
+        self.opened_connections = 0
 
     @property
     def state(self) -> ServerState:
@@ -147,13 +163,19 @@
         is_new = previous is None or _endpoint(previous) != _endpoint(announcement)
         if is_new or self.client is None:
             self.client = BackendServerClient(
-                announcement.address, announcement.connections
+                announcement.address,
+                announcement.connections,
+                self._protocol,
+                self._count_connection,
             )
         if previous != announcement:
             self.on_change()
         if old_client is not None and old_client is not self.client:
             await old_client.close()
 
+    def _count_connection(self) -> None:
+        self.opened_connections += 1
+
     def withdraw(self) -> None:
         """Note that the backend server cannot be reached."""
         if self.announcement is not None and self.state is not ServerState.GONE:
@@ -162,7 +184,7 @@
 
     def check_age(self) -> None:
         """Withdraw the backend server if its announcements have stopped."""
-        if self._clock.now_ms() - self._announced_ms > ANNOUNCE_TIMEOUT_MS:
+        if self._clock.now_ms() - self._announced_ms > self._timeout_ms:
             self.withdraw()
 
     def leave(self) -> None:
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
@@ -12,12 +12,12 @@
 from marjoramstep_wire.messages import LoadReport
 from marjoramstep_wire.messages import ServicePressure
 
-from .. import http_headers
 from ..calls import Answer
 from ..calls import Failed
 from ..calls import Refused
 from .client import BackendFault
 from .client import BackendServerError
+from .protocol import NativeBackendProtocol
 
 
 if TYPE_CHECKING:
@@ -35,6 +35,7 @@
     from .crash_watch import CrashWatch
     from .in_flight import InFlightMap
     from .own_server import OwnServer
+    from .protocol import BackendProtocol
 
 SECOND_MS = 1_000.0
 
@@ -51,6 +52,7 @@
     :param crashes: finds the suspects of a crash
     :param pressure: load of the services that this node calls
     :param metrics: counters and histograms
+    :param protocol: the HTTP that the backend server speaks
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         crashes: CrashWatch,
         pressure: PressureKeeper,
         metrics: NodeMetrics,
+        protocol: BackendProtocol | None = None,
     ) -> None:
         self._clock = clock
         self._own_server = own_server
@@ -74,6 +77,7 @@
         self._crashes = crashes
         self._pressure = pressure
         self._metrics = metrics
+        self._protocol = protocol or NativeBackendProtocol()
         self.is_shutting_down = False
 
     async def execute(self, call: Call) -> Reply:
@@ -107,7 +111,7 @@
             refusal = self._check(call)
             if refusal is not None:
                 return refusal
-            if call.row.repeatable:
+            if not call.row.needs_claim:
                 reply = await self._run_with_deadline(call)
             else:
                 # The run may outlive this task and keeps its slot until it ends.
@@ -177,7 +181,11 @@
         reply: Reply
         try:
             call.started = True
-            reply = await client.send(call, self._headers(call, context_id))
+            headers = self._protocol.request_headers(
+                call, announcement, context_id, self._budget_ms(call)
+            )
+            reply = await client.send(call, headers)
+            call.started = not isinstance(reply, Refused)
         except BackendServerError as error:
             reply = self._on_fault(call, error, incarnation)
         except MarjoramstepError as error:
@@ -211,13 +219,8 @@
             raise
         self._crashes.succeeded(call)
 
-    def _headers(self, call: Call, context_id: str) -> list[tuple[str, str]]:
-        budget_ms = max(int(call.deadline_ms - self._clock.now_ms()), 1)
-        return [
-            (http_headers.CONTEXT, context_id),
-            (http_headers.REQUEST_KEY, call.request_key),
-            (http_headers.DEADLINE_MS, str(budget_ms)),
-        ]
+    def _budget_ms(self, call: Call) -> int:
+        return max(int(call.deadline_ms - self._clock.now_ms()), 1)
 
     def _on_fault(
         self, call: Call, error: BackendServerError, incarnation: int
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -36,7 +36,8 @@
 # The backend server is full; another one of the service may have room.
 FULL_REASONS = frozenset({Reason.OVERLOAD, Reason.QUEUE_FULL})
 FAILURES_TO_RETRY = frozenset({Reason.CONNECTION_LOST})
-FULL_RETRY_LIMIT = 1
+# A refusal by a node costs the way there, but no backend server has seen the call.
+FULL_MOVE_LIMIT = 3
 
 
 class Dispatcher:
@@ -91,7 +92,7 @@
         self._budget.record_first(call.service)
         excluded: frozenset[ServerId] = frozenset()
         may_have_run = False
-        full_retries = 0
+        full_moves = 0
         reply: Reply = Refused(Reason.NO_SERVER, "no backend server is ready")
         while True:
             member = self._router.pick(call.service, excluded)
@@ -101,12 +102,12 @@
             if isinstance(reply, Answer):
                 return reply, may_have_run
             is_full = reply.reason in FULL_REASONS
-            if is_full and full_retries >= FULL_RETRY_LIMIT:
+            if is_full and full_moves >= FULL_MOVE_LIMIT:
                 return reply, may_have_run
             if not self._may_retry(call, reply, allowance):
                 return reply, may_have_run
             call.body.restart()
-            full_retries += is_full
+            full_moves += is_full
             may_have_run = may_have_run or isinstance(reply, Failed)
             excluded |= {member.server_id}
 
@@ -124,7 +125,13 @@
         if isinstance(reply, Failed) and not call.body.is_complete:
             # The former run may still be reading the parts of a streamed body.
             return False
-        if self._clock.now_ms() >= call.deadline_ms or allowance.held == 0:
+        if self._clock.now_ms() >= call.deadline_ms:
+            return False
+        if isinstance(reply, Refused) and not reply.reached_server:
+            # Nothing reached a backend server, so this is no second send.
+            self._metrics.count_event("moved on")
+            return True
+        if allowance.held == 0:
             return False
         if not self._budget.try_spend(call.service):
             self._metrics.count_event("retry over service budget")
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -11,6 +11,7 @@
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
 from marjoramstep_policy.quarantine import fingerprint_request
+from marjoramstep_policy.routing import TargetChooser
 
 from ..backend_servers.in_flight import SubCallState
 from ..calls import Answer
@@ -80,6 +81,7 @@
     :param make_allowance: makes the retry tokens of a request without a caller's key
     :param metrics: counters and histograms
     :param claim_check: looks up keys that are about to be reported as not run
+    :param targets: chooses the service of a request that names a host
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         make_allowance: Callable[[int], RetryAllowance],
         metrics: NodeMetrics,
         claim_check: ClaimCheck,
+        targets: TargetChooser | None = None,
     ) -> None:
         self._clock = clock
         self._tables = tables
@@ -105,6 +108,7 @@
         self._make_allowance = make_allowance
         self._metrics = metrics
         self._claim_check = claim_check
+        self._targets = targets or TargetChooser()
         self._history = KeyHistory()
         self.is_shutting_down = False
         self.in_progress = 0
@@ -140,15 +144,26 @@
             or not self._tables.has_table
         ):
             return
-        row = self._tables.match(request.service, request.method, request.path)
-        if not row.repeatable:
+        row = self._find_row(request)
+        if row is not None and row.needs_claim:
             await self._claim_check.confirm(result, request.request_key)
 
+    def _find_row(self, request: EntryRequest) -> Row | None:
+        if request.host:
+            return self._tables.match_host(request.host, request.path)
+        return self._tables.match(request.service, request.method, request.path)
+
     async def _execute(self, request: EntryRequest, now_ms: float) -> EntryResult:
-        key = request.request_key or RequestKey(secrets.token_hex(KEY_BYTES))
+        key = request.request_key or RequestKey(
+            request.request_id or secrets.token_hex(KEY_BYTES)
+        )
         if not self._tables.has_table:
             return _refused(Reason.NO_TABLE, key, "")
-        row = self._tables.match(request.service, request.method, request.path)
+        row = self._find_row(request)
+        if row is None:
+            return _refused(Reason.NO_ROUTE, key, "")
+        if request.host:
+            request.service = self._targets.choose(row) if row.shares else row.service
         parent = None
         if request.context_id is not None:
             parent = self._in_flight.find(request.context_id)
@@ -170,7 +185,7 @@
             request.body.upload.limit_bytes = row.body_limit_bytes
         if request.body.length > row.body_limit_bytes:
             return Reason.BODY_TOO_LARGE
-        if not row.repeatable and request.request_key is None:
+        if row.needs_claim and request.request_key is None:
             return Reason.BAD_KEY
         # Work has been spent on the parent already, so only roots are refused early.
         if parent is None and not self._pressure.admits(
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
@@ -37,6 +37,8 @@
     :param request_key: the caller's key, None if it gave none
     :param deadline_ms: time that the caller allows, in milliseconds, or None
     :param context_id: set on sub-calls of the own backend server
+    :param host: host that the caller named; the row found by it names the service
+    :param request_id: names the request in logs where it has no key
     """
 
     service: ServiceName
@@ -47,6 +49,8 @@
     request_key: RequestKey | None
     deadline_ms: float | None
     context_id: str | None
+    host: str = ""
+    request_id: str = ""
 
 
 def parse_request(
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -0,0 +1,357 @@
+"""One HTTP connection of a caller, with pipelined requests running side by side."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+from typing import TYPE_CHECKING
+from typing import cast
+
+from aiohttp.base_protocol import BaseProtocol
+from aiohttp.http import HttpRequestParser
+from aiohttp.http import HttpVersion11
+from aiohttp.http import StreamWriter
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.http_exceptions import LineTooLong
+from aiohttp.streams import EMPTY_PAYLOAD
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.errors import MarjoramstepError
+from multidict import CIMultiDict
+
+from ..calls import INLINE_BODY_LIMIT_BYTES
+from ..calls import UNKNOWN_LENGTH
+from ..calls import Body
+from ..http.body_reader import read_body
+from ..http.message import HttpAnswer
+from ..http.message import HttpRequest
+from ..http.message import decode_headers
+
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable
+    from collections.abc import Callable
+
+    from aiohttp.http import RawRequestMessage
+    from aiohttp.streams import StreamReader
+
+    from ..log import EventLog
+
+HEADER_SIZE_LIMIT_BYTES = 16_384
+# Requests of one connection that run side by side; reading pauses beyond it.
+PIPELINE_LIMIT = 32
+# How long a connection that is to be closed still takes what the caller sends. Closing
+# with unread bytes would reset it and could destroy the answer on its way.
+LINGER_SECONDS = 1.0
+TIMER_SECONDS = 0.5
+LOGGED_ERROR_CHARACTERS = 200
+NO_BODY_STATUS = frozenset({204, 304})
+
+
+class ConnectionLimits:
+    """Times that a caller's connection may take; shared by all connections.
+
+    :param header_seconds: from the first byte of a head to its end
+    :param idle_seconds: between an answer and the next request
+    """
+
+    def __init__(self, header_seconds: float, idle_seconds: float) -> None:
+        self.header_seconds = header_seconds
+        self.idle_seconds = idle_seconds
+
+
+class _Exchange:
+    """One request and the end of its answer."""
+
+    def __init__(self, message: RawRequestMessage, payload: StreamReader) -> None:
+        self.message = message
+        self.payload = payload
+        self.is_done = asyncio.Event()
+        self.task: asyncio.Task[None] | None = None
+
+
+class CallerConnection(BaseProtocol):
+    """Owns one socket; answers leave in the order of their requests.
+
+    :param handle: carries one request out
+    :param limits: times that the caller may take
+    :param log: event log
+    :param on_open: called with this connection when it opens
+    :param on_close: called with this connection when it has closed
+    """
+
+    def __init__(
+        self,
+        handle: Callable[[HttpRequest], Awaitable[HttpAnswer]],
+        limits: ConnectionLimits,
+        log: EventLog,
+        on_open: Callable[[CallerConnection], None],
+        on_close: Callable[[CallerConnection], None],
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        parser = HttpRequestParser(
+            self,
+            loop,
+            INLINE_BODY_LIMIT_BYTES,
+            max_line_size=HEADER_SIZE_LIMIT_BYTES,
+            max_field_size=HEADER_SIZE_LIMIT_BYTES,
+            payload_exception=InvalidInputError,
+            auto_decompress=False,
+        )
+        super().__init__(loop, parser)
+        self._handle = handle
+        self._limits = limits
+        self._log = log
+        self._on_open = on_open
+        self._on_close = on_close
+        self._exchanges: list[_Exchange] = []
+        self._last_payload: StreamReader | None = None
+        self._head_since: float | None = None
+        self._idle_since = loop.time()
+        self._is_closing = False
+        self._closes_next = False
+        self._timer: asyncio.TimerHandle | None = None
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has not been answered to its end."""
+        return bool(self._exchanges)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start the timers.
+
+        :param transport: the open transport
+        """
+        super().connection_made(transport)
+        self._on_open(self)
+        self._timer = self._loop.call_later(TIMER_SECONDS, self._check_times)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel what the caller no longer waits for.
+
+        :param exc: error of the transport, or None
+        """
+        super().connection_lost(exc)
+        if self._timer is not None:
+            self._timer.cancel()
+        for exchange in self._exchanges:
+            if exchange.payload is not EMPTY_PAYLOAD and not exchange.payload.is_eof():
+                exchange.payload.set_exception(
+                    ConnectionResetError("the caller closed the connection")
+                )
+            if exchange.task is not None:
+                exchange.task.cancel()
+        self._parser = None
+        self._on_close(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes and start the requests in them.
+
+        :param data: received bytes, empty when reading goes on after a pause
+        """
+        if self._parser is None or self._is_closing:
+            return
+        try:
+            messages, upgraded, _ = self._parser.feed_data(data)
+        except HttpProcessingError as error:
+            self._refuse(error)
+            return
+        for message, payload in messages:
+            self._start(message, payload)
+        if upgraded:
+            self._is_closing = True
+        self._note_head(bool(messages), data)
+        if len(self._exchanges) > PIPELINE_LIMIT:
+            self._pause_reading_for_buffer()
+
+    def close_when_idle(self) -> None:
+        """Close the connection now if nothing runs, else after the last answer."""
+        self._is_closing = True
+        if not self._exchanges and self.transport is not None:
+            self.transport.close()
+
+    def announce_close(self) -> None:
+        """Tell the caller with the next answer that the connection will close."""
+        self._closes_next = True
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        if self.transport is not None:
+            self.transport.abort()
+
+    def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
+        if self._is_closing:
+            # A request behind one that closes the connection counts as not read.
+            return
+        exchange = _Exchange(message, payload)
+        previous = self._exchanges[-1] if self._exchanges else None
+        self._exchanges.append(exchange)
+        self._last_payload = payload
+        if message.should_close:
+            self._is_closing = True
+        exchange.task = self._loop.create_task(self._run(exchange, previous))
+
+    def _note_head(self, has_messages: bool, data: bytes) -> None:
+        payload = self._last_payload
+        in_body = payload is not None and not payload.is_eof()
+        if has_messages or in_body:
+            self._head_since = None
+        elif data and self._head_since is None:
+            self._head_since = self._loop.time()
+
+    async def _run(self, exchange: _Exchange, previous: _Exchange | None) -> None:
+        try:
+            answer = await self._answer(exchange)
+            if previous is not None:
+                await previous.is_done.wait()
+            if self.transport is not None:
+                await self._write(exchange, answer)
+        except (ConnectionError, OSError) as error:
+            self._log.write("answer not sent", step="answer", error=str(error))
+        except MarjoramstepError as error:
+            # The caller must not take a part of the answer for the whole.
+            self._log.write("answer broke off", step=error.step, peer=error.peer)
+            self.abort()
+        finally:
+            self._finish(exchange)
+
+    async def _answer(self, exchange: _Exchange) -> HttpAnswer:
+        message = exchange.message
+        try:
+            if "Expect" in message.headers and self._exchanges[0] is exchange:
+                cast("asyncio.Transport", self.transport).write(
+                    b"HTTP/1.1 100 Continue\r\n\r\n"
+                )
+            body = Body()
+            if exchange.payload is not EMPTY_PAYLOAD:
+                length = message.headers.get("Content-Length")
+                body = await read_body(
+                    exchange.payload, None if length is None else int(length)
+                )
+            request = HttpRequest(
+                message.method,
+                message.path,
+                message.headers,
+                decode_headers(message.raw_headers),
+                body,
+            )
+            return await self._handle(request)
+        except InvalidInputError as error:
+            self._log.write("malformed request", step=error.step, error=error.message)
+            return plain_answer(400, error.message, closes=True)
+        except Exception as error:
+            # Without an answer the caller would wait until its deadline.
+            self._log.write("internal error", step="answer", error=repr(error))
+            return plain_answer(500, "internal error", closes=True)
+
+    async def _write(self, exchange: _Exchange, answer: HttpAnswer) -> None:
+        message = exchange.message
+        headers, body = answer.headers, answer.body
+        is_modern = message.version >= HttpVersion11
+        is_headless = message.method == "HEAD" or answer.status in NO_BODY_STATUS
+        writer = StreamWriter(self, self._loop)
+        unread = not exchange.payload.is_eof()
+        # A request behind this one may run already, so its answer is still sent.
+        is_last = self._exchanges[-1] is exchange
+        closes = answer.closes or unread or message.should_close
+        closes = closes or (self._closes_next and is_last)
+        if body.is_complete:
+            if answer.status not in NO_BODY_STATUS:
+                headers.setdefault("Content-Length", str(len(body.data)))
+        elif body.length != UNKNOWN_LENGTH:
+            headers["Content-Length"] = str(body.length)
+        elif is_modern:
+            headers["Transfer-Encoding"] = "chunked"
+            writer.enable_chunking()
+        else:
+            closes = True
+        if closes:
+            headers["Connection"] = "close"
+            self._is_closing = True
+        elif not is_modern:
+            headers["Connection"] = "keep-alive"
+        await writer.write_headers(_status_line(answer.status), headers)
+        try:
+            if is_headless:
+                await writer.write_eof()
+            elif body.is_complete:
+                await writer.write_eof(body.data)
+            else:
+                async for part in body.parts():
+                    await writer.write(part)
+                await writer.write_eof()
+        finally:
+            body.abandon()
+        if closes:
+            self._close_after(exchange)
+
+    def _close_after(self, exchange: _Exchange) -> None:
+        for behind in self._exchanges:
+            if behind is not exchange and behind.task is not None:
+                behind.task.cancel()
+        transport = self.transport
+        if transport is None:
+            return
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._loop.call_later(LINGER_SECONDS, transport.close)
+
+    def _finish(self, exchange: _Exchange) -> None:
+        exchange.is_done.set()
+        if exchange in self._exchanges:
+            self._exchanges.remove(exchange)
+        self._idle_since = self._loop.time()
+        if self._buffer_paused and len(self._exchanges) <= PIPELINE_LIMIT:
+            self._resume_reading_for_buffer()
+
+    def _refuse(self, error: HttpProcessingError) -> None:
+        """Answer bytes that are no request, after the answers that are due."""
+        status = 431 if isinstance(error, LineTooLong) else 400
+        text = str(error.message)[:LOGGED_ERROR_CHARACTERS]
+        self._log.write("malformed request", step="http", peer="caller", error=text)
+        self._is_closing = True
+        self._loop.create_task(self._send_refusal(status))
+
+    async def _send_refusal(self, status: int) -> None:
+        for exchange in list(self._exchanges):
+            await exchange.is_done.wait()
+        if self.transport is None:
+            return
+        answer = plain_answer(status, HTTPStatus(status).phrase, closes=True)
+        answer.headers["Connection"] = "close"
+        writer = StreamWriter(self, self._loop)
+        await writer.write_headers(_status_line(status), answer.headers)
+        await writer.write_eof(answer.body.data)
+        self._loop.call_later(LINGER_SECONDS, self.transport.close)
+
+    def _check_times(self) -> None:
+        self._timer = self._loop.call_later(TIMER_SECONDS, self._check_times)
+        now = self._loop.time()
+        if self._head_since is not None:
+            if now - self._head_since > self._limits.header_seconds:
+                self._head_since = None
+                self._is_closing = True
+                self._loop.create_task(self._send_refusal(408))
+        elif not self._exchanges and now - self._idle_since > self._limits.idle_seconds:
+            self.close_when_idle()
+
+
+def plain_answer(status: int, text: str, *, closes: bool = False) -> HttpAnswer:
+    """Build an answer of this process with a line of text.
+
+    :param status: status code
+    :param text: the line
+    :param closes: whether the connection ends after it
+    :return: the answer
+    """
+    data = f"{text}\n".encode()
+    headers = CIMultiDict({"Content-Type": "text/plain; charset=utf-8"})
+    headers["Content-Length"] = str(len(data))
+    return HttpAnswer(status, headers, Body(data, length=len(data)), closes)
+
+
+def _status_line(status: int) -> str:
+    try:
+        phrase = HTTPStatus(status).phrase
+    except ValueError:
+        phrase = "Unknown"
+    return f"HTTP/1.1 {status} {phrase}"
--- a/packages/daemon/src/marjoramstep_daemon/callers/responses.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/responses.py
@@ -26,6 +26,7 @@
     Reason.KEY_CLOSED: 410,
     Reason.KEY_REUSED: 422,
     Reason.BODY_TOO_LARGE: 413,
+    Reason.NO_ROUTE: 404,
     Reason.DEADLINE: 504,
     Reason.RETRIES_EXHAUSTED: 429,
     Reason.QUARANTINED: 422,
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -170,13 +170,17 @@
 
 @dataclass(slots=True)
 class Refused:
-    """The call did not run and will not."""
+    """The call did not run and will not.
+
+    :param reached_server: whether the backend server itself turned it away
+    """
 
     reason: Reason
     detail: str = ""
     retry_tokens: int = 0
     load: LoadReport | None = None
     retry_after_ms: float = 0.0
+    reached_server: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/marjoramstep_daemon/control/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/client.py
@@ -17,6 +17,7 @@
 from marjoramstep_wire.messages import QuarantineNotice
 from marjoramstep_wire.messages import RegisterReply
 from marjoramstep_wire.messages import RegisterServer
+from marjoramstep_wire.messages import ReplicaList
 from marjoramstep_wire.messages import TableGet
 from marjoramstep_wire.messages import TableNotice
 from marjoramstep_wire.messages import TableReply
@@ -42,6 +43,9 @@
 LEASE_MS = 3_000.0
 HEARTBEAT_SECONDS = 1.0
 CONFIRM_SECONDS = 5.0
+# Replicas that hold the members of a service. Nodes may know different replicas for a
+# while, so the copies have to overlap.
+REGISTRY_REPLICAS = 5
 
 
 class ControlClient:
@@ -76,23 +80,62 @@
         self._on_members = on_members
         self._log = log
         self._watched: set[ServiceName] = set()
-        self._links = {
-            f"{host}:{port}": ControlLink(
-                (host, port), key, make_hello, self._on_open, self._on_message, log
-            )
-            for host, port in addresses
-        }
+        self._key = key
+        self._make_hello = make_hello
+        self._seeds = set(addresses)
+        self._listed: dict[Address, set[Address]] = {}
+        self._links: dict[str, ControlLink] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._is_running = False
         self.claims = ClaimClient(clock, lambda: list(self._links.values()))
         tables.on_newer_seen = self._fetch_table
         quarantine.on_report = self._broadcast
 
     async def run(self) -> None:
         """Keep the links, heartbeats and confirmations going until cancelled."""
-        async with asyncio.TaskGroup() as group:
-            for link in self._links.values():
-                group.create_task(link.run())
-            group.create_task(self._run_heartbeats())
-            group.create_task(self._run_confirmations())
+        self._is_running = True
+        self._update_links()
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._run_heartbeats())
+                group.create_task(self._run_confirmations())
+        finally:
+            self._is_running = False
+            for task in self._tasks.values():
+                task.cancel()
+
+    def set_seeds(self, addresses: tuple[Address, ...]) -> None:
+        """Replace the addresses from the settings.
+
+        :param addresses: peer addresses of replicas
+        """
+        self._seeds = set(addresses)
+        self._update_links()
+
+    def _update_links(self) -> None:
+        """Open links to all replicas that are named, close those to others."""
+        if not self._is_running:
+            return
+        wanted = self._seeds.union(*self._listed.values())
+        names = {f"{host}:{port}": (host, port) for host, port in wanted}
+        for name in self._links.keys() - names.keys():
+            self._tasks.pop(name).cancel()
+            self._listed.pop(self._links.pop(name).address, None)
+        for name in names.keys() - self._links.keys():
+            link = self._links[name] = ControlLink(
+                names[name],
+                self._key,
+                self._make_hello,
+                self._on_open,
+                self._on_message,
+                self._log,
+            )
+            self._tasks[name] = asyncio.create_task(link.run())
+
+    def _on_replica_list(self, link: ControlLink, message: ReplicaList) -> None:
+        # Each replica's latest list counts, so that one that lags cannot hide others.
+        self._listed[link.address] = {_parse(text) for text in message.addresses}
+        self._update_links()
 
     def watch(self, service: ServiceName) -> None:
         """Subscribe to the members of a service.
@@ -130,7 +173,7 @@
             self._try_send(link, message)
 
     def _registry_links(self, service: ServiceName) -> list[ControlLink]:
-        names = choose_replicas(service, map(ReplicaId, self._links))
+        names = choose_replicas(service, map(ReplicaId, self._links), REGISTRY_REPLICAS)
         return [self._links[name] for name in names]
 
     async def _run_heartbeats(self) -> None:
@@ -178,6 +221,8 @@
             self.claims.on_reply(message)
         elif isinstance(message, RegisterReply):
             self._tables.see_version(message.table_version)
+        elif isinstance(message, ReplicaList):
+            self._on_replica_list(link, message)
         elif isinstance(message, QuarantineNotice):
             self._quarantine.add(
                 ServiceName(message.service_name),
@@ -188,3 +233,8 @@
             raise ProtocolError(
                 f"unexpected {type(message).__name__}", step="receive from replica"
             )
+
+
+def _parse(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- a/packages/daemon/src/marjoramstep_daemon/control/control_process.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/control_process.py
@@ -19,10 +19,12 @@
 from marjoramstep_state import MembershipRegistry
 from marjoramstep_wire.handshake import make_hello
 
+from ..adapter import load_adapter
+from ..http.site import HttpSite
 from ..operators.edit_api import EditApi
 from ..operators.tokens import OperatorTokens
 from ..peer_listener import Route
-from ..platform.http_site import HttpSite
+from .member_keeper import MemberKeeper
 from .node_service import NodeService
 from .replica import Replica
 from .replica_links import ReplicaLinks
@@ -104,6 +106,10 @@
     return settings.control
 
 
+def _seed_id(address: tuple[str, int]) -> ReplicaId:
+    return ReplicaId(f"seed-{address[0]}-{address[1]}")
+
+
 class ControlProcess:
     """Everything that runs in the role ``control``.
 
@@ -128,7 +134,7 @@
         path = self._control.data_folder
         self._folder = DataFolder(OsFileLayer(path), str(path))
         if self._folder.is_empty:
-            self._folder.create(make_replica_id(settings.process_id))
+            self._create_identity(peer_address)
         self._links = ReplicaLinks(
             peer_address,
             settings.control_addresses,
@@ -141,11 +147,18 @@
             self._folder, address, clock, random.Random(), self._links, log
         )
         registry = MembershipRegistry(clock)
-        self._service = NodeService(clock, self.replica, registry, log)
+        self._service = NodeService(
+            clock, self.replica, registry, log, self._replica_addresses
+        )
         self.replica.on_table_version = self._service.on_table_version
         self.replica.on_quarantine = self._service.on_quarantine
         tokens = OperatorTokens(self._control.operators)
         self._site = HttpSite(EditApi(self.replica, registry, tokens).make_app())
+        adapter_app = load_adapter(settings.adapter).make_operator_app(
+            self.replica, log
+        )
+        self._adapter_site = None if adapter_app is None else HttpSite(adapter_app)
+        self._members = MemberKeeper(self.replica, log)
         listener.add_route(
             Route.NODE_CONTROL, lambda c: _NodeControlSession(self._service, c)
         )
@@ -181,11 +194,17 @@
         :raises OSError: if the address cannot be bound
         """
         bound = {"operator": await self._site.start(self._control.operator_address)}
+        if self._adapter_site is not None and self._control.adapter_address:
+            bound["adapter"] = await self._adapter_site.start(
+                self._control.adapter_address
+            )
         self.replica.start()
         self._tasks = [
             asyncio.create_task(self.replica.run()),
             asyncio.create_task(self._service.run()),
         ]
+        if self._control.manages_replicas:
+            self._tasks.append(asyncio.create_task(self._members.run()))
         for task in self._tasks:
             task.add_done_callback(self._on_task_done)
         return bound
@@ -193,12 +212,39 @@
     async def close(self) -> None:
         """Stop serving and release the data folder."""
         await self._site.close()
+        if self._adapter_site is not None:
+            await self._adapter_site.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._links.close()
         await self.replica.close()
 
+    def set_seeds(self, addresses: tuple[tuple[str, int], ...]) -> None:
+        """Take further addresses of replicas from changed settings.
+
+        :param addresses: peer addresses
+        """
+        for host, port in addresses:
+            self._links.know(f"{host}:{port}")
+
+    def _create_identity(self, own_address: tuple[str, int]) -> None:
+        """Prepare an empty data folder.
+
+        At the first start of a deployment the replicas that the settings name are its
+        voters, each under an id made from its address. Every other empty folder is
+        that of a new or repaired VM, which waits to be admitted.
+        """
+        seeds = self._settings.control_addresses
+        if self._control.starts_deployment and own_address in seeds:
+            voters = {_seed_id(seed): f"{seed[0]}:{seed[1]}" for seed in seeds}
+            self._folder.create(_seed_id(own_address), Membership(voters))
+        else:
+            self._folder.create(make_replica_id(self._settings.process_id))
+
+    def _replica_addresses(self) -> list[str]:
+        return list(self.replica.core.membership.members.values())
+
     def _on_task_done(self, task: asyncio.Task[None]) -> None:
         if task.cancelled():
             return
--- a/packages/daemon/src/marjoramstep_daemon/control/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/link.py
@@ -25,10 +25,10 @@
     from ..log import EventLog
 
 Address = tuple[str, int]
-RECONNECT_SECONDS = 0.5
+RECONNECT_SECONDS = 0.25
 # A cut without a signal is only noticed by silence.
-PING_INTERVAL_SECONDS = 2.0
-SILENCE_LIMIT_SECONDS = 6.0
+PING_INTERVAL_SECONDS = 1.0
+SILENCE_LIMIT_SECONDS = 2.5
 
 
 class ControlLink:
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/control/member_keeper.py
@@ -0,0 +1,69 @@
+"""Admits and removes replicas while this one leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from marjoramstep_consensus.voter_policy import Admit
+from marjoramstep_consensus.voter_policy import next_change
+from marjoramstep_core.errors import MarjoramstepError
+
+
+if TYPE_CHECKING:
+    from marjoramstep_consensus.effects import Effect
+    from marjoramstep_consensus.replica_core import ReplicaCore
+
+    from ..log import EventLog
+    from .replica import Replica
+
+CHECK_SECONDS = 0.25
+
+
+class MemberKeeper:
+    """Carries out the changes that the policy of voters decides.
+
+    :param replica: the replica of this process
+    :param log: event log
+    """
+
+    def __init__(self, replica: Replica, log: EventLog) -> None:
+        self._replica = replica
+        self._log = log
+
+    async def run(self) -> None:
+        """Check the members until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            if self._replica.is_leader:
+                self._check()
+
+    def _check(self) -> None:
+        core, contact = self._replica.core, self._replica.contact
+        change = next_change(
+            core.membership, self._replica.recently_waiting(), contact.silent_ms()
+        )
+        if change is None:
+            return
+
+        def apply(core: ReplicaCore) -> list[Effect]:
+            if isinstance(change, Admit):
+                return core.admit(change.replica_id, change.address)
+            return core.remove(change.replica_id)
+
+        kind = type(change).__name__.lower()
+        try:
+            self._replica.change_members(apply)
+        except MarjoramstepError as error:
+            # Another change is open; the next check tries again.
+            self._log.write(
+                "change of replicas put off", step=error.step, error=error.message
+            )
+            return
+        self._log.write(
+            "replicas changed",
+            step="change membership",
+            peer=change.replica_id,
+            change=kind,
+            voters=len(core.membership.voters),
+        )
--- a/packages/daemon/src/marjoramstep_daemon/control/node_service.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/node_service.py
@@ -32,6 +32,7 @@
 from marjoramstep_wire.messages import QuarantineReport
 from marjoramstep_wire.messages import RegisterReply
 from marjoramstep_wire.messages import RegisterServer
+from marjoramstep_wire.messages import ReplicaList
 from marjoramstep_wire.messages import StoredAnswer
 from marjoramstep_wire.messages import TableGet
 from marjoramstep_wire.messages import TableNotice
@@ -46,6 +47,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Coroutine
+    from collections.abc import Iterable
 
     from marjoramstep_core.clock import Clock
     from marjoramstep_state import MembershipRegistry
@@ -72,6 +74,7 @@
     :param state: the replicated state
     :param registry: members and their watchers at this replica
     :param log: event log
+    :param replicas: returns the peer addresses of all replicas
     """
 
     def __init__(
@@ -80,11 +83,14 @@
         state: ReplicatedState,
         registry: MembershipRegistry,
         log: EventLog,
+        replicas: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self._clock = clock
         self._state = state
         self._tables = TableSender(state.machine)
         self._registry = registry
+        self._replicas = replicas
+        self._sent_replicas: frozenset[str] = frozenset()
         self._log = log
         self._warm_ms = clock.now_ms() + REGISTRY_WARM_UP_MS
         self._early_watches: list[tuple[NodeId, WatchService]] = []
@@ -113,6 +119,7 @@
                 self._warm_ms = now_ms + REGISTRY_WARM_UP_MS
                 self._log.write("expiry of leases paused", step="expire leases")
             ticked_ms = now_ms
+            self._push_replicas()
             if not self._is_warming_up():
                 self._push(self._registry.tick())
                 self._send_full_lists()
@@ -129,6 +136,7 @@
         if previous is not None:
             self._registry.unwatch(node_id)
             previous.close()
+        self._send(connection, self._replica_list())
         for entry in self._state.machine.quarantined():
             self._send(
                 connection,
@@ -170,6 +178,17 @@
         for connection in list(self._connections.values()):
             self._send(connection, notice)
 
+    def _replica_list(self) -> ReplicaList:
+        return ReplicaList(addresses=sorted(self._replicas()))
+
+    def _push_replicas(self) -> None:
+        replicas = frozenset(self._replicas())
+        if replicas == self._sent_replicas:
+            return
+        self._sent_replicas = replicas
+        for connection in list(self._connections.values()):
+            self._send(connection, self._replica_list())
+
     def on_quarantine(
         self, service: ServiceName, fingerprint: Fingerprint, remaining_ms: float
     ) -> None:
--- a/packages/daemon/src/marjoramstep_daemon/control/quorum_contact.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/quorum_contact.py
@@ -31,6 +31,7 @@
         self._clock = clock
         self._timing = timing
         self._heard_ms: dict[ReplicaId, float] = {}
+        self._role_since_ms = clock.now_ms()
         self._leader_contact_ms = float("-inf")
         self._first_index = 0
         self._commits: deque[tuple[float, int]] = deque()
@@ -62,6 +63,20 @@
         heard = {peer for peer, at_ms in self._heard_ms.items() if at_ms >= oldest_ms}
         return {self._core.replica_id, *heard}
 
+    def silent_ms(self) -> dict[ReplicaId, float]:
+        """Return how long ago each other member was heard.
+
+        A new leader counts from the start of its leadership.
+
+        :return: milliseconds by id
+        """
+        now_ms = self._clock.now_ms()
+        return {
+            peer: now_ms - max(self._heard_ms.get(peer, 0.0), self._role_since_ms)
+            for peer in self._core.membership.members
+            if peer != self._core.replica_id
+        }
+
     def synced_index(self) -> int:
         """Return the index that a member which keeps up must hold.
 
@@ -116,6 +131,7 @@
     def on_role(self) -> None:
         """Take note that role, term or leader changed."""
         self._heard_ms.clear()
+        self._role_since_ms = self._clock.now_ms()
         self._commits.clear()
         self._first_index = self._core.last_index
 
--- a/packages/daemon/src/marjoramstep_daemon/control/replica.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica.py
@@ -59,7 +59,11 @@
 SUBMIT_TIMEOUT_SECONDS = 5.0
 PROPOSAL_LIMIT = 20_000
 ADVANCE_TIME_SECONDS = 10.0
-JOIN_SECONDS = 1.0
+JOIN_SECONDS = 0.5
+# Time without a leader after which a member asks whether it still is one.
+LEFT_OUT_MS = 4_000.0
+# A replica that waits repeats its request more often than this.
+ASKED_MS = 2_500.0
 SECOND_MS = 1_000.0
 # A stored answer of 1 MiB takes 1.4 MiB in base64; a frame may have 2 MiB.
 PAYLOAD_LIMIT_BYTES = 1_792 * 1024
@@ -126,6 +130,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._encode_timer: asyncio.TimerHandle | None = None
         self._table_version = self.machine.table.version
+        self._asked_ms: dict[ReplicaId, float] = {}
+        self._led_ms = clock.now_ms()
         self._reported_role = (ReplicaRole.FOLLOWER, -1)
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.on_table_version: Callable[[int], None] = lambda _: None
@@ -143,6 +149,11 @@
         )
         return ReplicaDriver(self.core, machine_calls, SNAPSHOT_ENTRIES)
 
+    @property
+    def address(self) -> str:
+        """Own peer address ``ip:port``."""
+        return self._address
+
     @property
     def leader_address(self) -> str:
         """Peer address of the leader, empty when it is not known."""
@@ -166,7 +177,7 @@
         advanced_ms = self._clock.now_ms()
         while True:
             await asyncio.sleep(JOIN_SECONDS)
-            if self.core.replica_id not in self.core.membership.members:
+            if self._seems_left_out():
                 request = JoinRequest(
                     replica_id=self.core.replica_id, address=self._address
                 )
@@ -177,6 +188,28 @@
                     advanced_ms = self._clock.now_ms()
                     await self._advance_time()
 
+    def _seems_left_out(self) -> bool:
+        # A replica that was removed while it was cut off still finds itself in its own
+        # log, but no leader sends to it any more.
+        if self.core.replica_id not in self.core.membership.members:
+            return True
+        is_led = self.core.leader_id is not None
+        if is_led:
+            self._led_ms = self._clock.now_ms()
+        return self._clock.now_ms() - self._led_ms > LEFT_OUT_MS
+
+    def recently_waiting(self) -> dict[ReplicaId, str]:
+        """Return the replicas that ask to be admitted, without those that gave up.
+
+        :return: address by id
+        """
+        oldest_ms = self._clock.now_ms() - ASKED_MS
+        return {
+            replica_id: address
+            for replica_id, address in self.core.waiting_replicas.items()
+            if self._asked_ms.get(replica_id, 0.0) >= oldest_ms
+        }
+
     def receive(self, sender: ReplicaId, message: Message) -> None:
         """Take a message of another replica.
 
@@ -185,7 +218,10 @@
         :raises ProtocolError: if it is malformed
         """
         if isinstance(message, JoinReply):
+            self._links.know(message.leader_address)
             return
+        if isinstance(message, JoinRequest):
+            self._asked_ms[sender] = self._clock.now_ms()
         self._handle(self.core.receive(sender, message))
         self.contact.on_received(sender, message)
 
--- a/packages/daemon/src/marjoramstep_daemon/control/replica_links.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica_links.py
@@ -74,6 +74,15 @@
             if address != self._own_address:
                 self._try_send(link, message)
 
+    def know(self, address_text: str) -> None:
+        """Take note of a replica that another one has named.
+
+        :param address_text: peer address ``ip:port``, empty for none
+        """
+        if address_text:
+            host, _, port = address_text.rpartition(":")
+            self._link((host, int(port)))
+
     async def close(self) -> None:
         """Close all links."""
         tasks = list(self._tasks.values())
--- a/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
@@ -10,12 +10,14 @@
 from marjoramstep_core.table import RowMatcher
 from marjoramstep_core.table import Table
 from marjoramstep_core.table.delta import TableDelta
+from marjoramstep_core.table.matcher import ANY
 
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import RowName
     from marjoramstep_core.ids import ServiceName
     from marjoramstep_core.table import Row
     from marjoramstep_wire.messages import TableReply
@@ -25,6 +27,8 @@
 SECOND_MS = 1_000.0
 # Bound on the wait for a newer table that a peer has reported.
 FETCH_WAIT_MS = 1_000.0
+# Dropped rows that are remembered for calls on their way.
+DROPPED_LIMIT = 1_000
 
 
 class TableKeeper:
@@ -39,10 +43,12 @@
         self._log = log
         self._table: Table | None = None
         self._matcher: RowMatcher | None = None
+        self._dropped: dict[RowName, Row] = {}
         self._confirmed_ms = float("-inf")
         self._newest_seen = 0
         self._changed = asyncio.Event()
         self.on_newer_seen: Callable[[], None] = lambda: None
+        self.on_put: Callable[[Table], None] = lambda _: None
 
     @property
     def has_table(self) -> bool:
@@ -82,6 +88,39 @@
         assert self._matcher is not None
         return self._matcher.match(service, method, path)
 
+    def match_host(self, host: str, path: str) -> Row | None:
+        """Return the row of a request that names a host.
+
+        :param host: host name without a port
+        :param path: path of the request
+        :return: the row, or None if no row has the host and path
+        """
+        assert self._matcher is not None
+        return self._matcher.match_host(host, path)
+
+    def find(self, name: RowName, service: ServiceName, method: str, path: str) -> Row:
+        """Return the row that another node has chosen.
+
+        :param name: name of the row
+        :param service: service that is called
+        :param method: HTTP method
+        :param path: path of the request
+        :return: the row of that name if it has a host, also one that was dropped
+            while the call was on its way; else the most specific one
+        """
+        assert self._table is not None
+        row = self._table.rows.get(name) or self._dropped.get(name)
+        if row is not None and row.host != ANY:
+            return row
+        return self.match(service, method, path)
+
+    def _keep_dropped(self, table: Table) -> None:
+        before = {} if self._table is None else self._table.rows
+        for name in before.keys() - table.rows.keys():
+            self._dropped[name] = before[name]
+            if len(self._dropped) > DROPPED_LIMIT:
+                del self._dropped[next(iter(self._dropped))]
+
     def see_version(self, version: int) -> None:
         """Take note of a version that a peer reported; a newer one is fetched.
 
@@ -124,7 +163,9 @@
         """
         if table.version > self.version:
             self._matcher = RowMatcher(table)
+            self._keep_dropped(table)
             self._table = table
+            self.on_put(table)
             self._log.write(
                 "table in force", step="receive table", version=table.version
             )
--- a/packages/daemon/src/marjoramstep_daemon/daemon.py
+++ b/packages/daemon/src/marjoramstep_daemon/daemon.py
@@ -16,9 +16,12 @@
 from .factory import NodeFactory
 from .log import EventLog
 from .peer_listener import PeerListener
+from .settings_watch import SettingsWatch
 
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from marjoramstep_core.states import ConnectionClass
     from marjoramstep_wire.messages import Hello
 
@@ -36,15 +39,18 @@
     """One process with the roles that its settings name.
 
     :param settings: checked settings
+    :param settings_file: read again when it changes, None for never
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, settings_file: Path | None = None) -> None:
         self._settings = settings
+        self._watch = SettingsWatch(settings_file)
         self._clock = SystemClock()
         self._log = EventLog(self._clock, settings.process_id)
         self._node: Node | None = None
         self._control: ControlProcess | None = None
         self._signals: asyncio.Queue[str] = asyncio.Queue()
+        self._watch_task: asyncio.Task[None] | None = None
 
     async def run(self) -> int:
         """Run until a signal or a failure.
@@ -56,6 +62,7 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._signals.put_nowait, number.name)
+        loop.add_signal_handler(signal.SIGHUP, self._reload, "SIGHUP")
         listener = PeerListener(
             self._settings.deployment_key, self._make_hello, self._log
         )
@@ -69,9 +76,12 @@
                 **{name: f"{host}:{port}" for name, (host, port) in bound.items()},
             )
             _relax_garbage_collector()
+            self._watch_task = asyncio.create_task(self._watch.run(self._reload))
             await self._wait_for_end()
             return await self._shut_down()
         finally:
+            if self._watch_task is not None:
+                self._watch_task.cancel()
             listener.close()
             if self._node is not None:
                 await self._node.close()
@@ -108,6 +118,22 @@
             connection_class,
         )
 
+    def _reload(self, cause: str) -> None:
+        settings = self._watch.read(self._log, cause)
+        if settings is None or settings == self._settings:
+            return
+        if self._node is not None:
+            self._node.control.set_seeds(settings.control_addresses)
+        if self._control is not None:
+            self._control.set_seeds(settings.control_addresses)
+        self._log.write(
+            "settings reloaded",
+            step="reload",
+            cause=cause,
+            control_addresses=[f"{h}:{p}" for h, p in settings.control_addresses],
+        )
+        self._settings = settings
+
     async def _wait_for_end(self) -> None:
         signal_task = asyncio.create_task(self._signals.get())
         waits: list[asyncio.Future[object]] = [signal_task]  # type: ignore[list-item]
@@ -122,8 +148,7 @@
     async def _shut_down(self) -> int:
         if self._node is None:
             return 0
-        self._node.begin_shutdown()
-        drain = asyncio.create_task(self._node.drain())
+        drain = asyncio.create_task(self._leave(self._node))
         second_signal = asyncio.create_task(self._signals.get())
         limit = self._settings.shutdown_limit_ms / SECOND_MS
         done, _ = await asyncio.wait(
@@ -136,9 +161,15 @@
             self._log.write("stopped", step="shutdown", cut_off=[])
             return 0
         drain.cancel()
+        self._node.begin_shutdown()
         self._log.write("stopped", step="shutdown", cut_off=self._node.cut_off())
         return EXIT_CUT_OFF
 
+    async def _leave(self, node: Node) -> None:
+        await node.linger()
+        node.begin_shutdown()
+        await node.drain()
+
 
 def _relax_garbage_collector() -> None:
     gc.collect()
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -21,6 +21,7 @@
 from marjoramstep_wire.handshake import make_hello
 
 from . import disabled_decisions as decisions
+from .adapter import load_adapter
 from .backend_servers.admission_gate import AdmissionGate
 from .backend_servers.claimed_runs import ClaimedRuns
 from .backend_servers.crash_watch import CrashWatch
@@ -72,6 +73,7 @@
         self._tables = TableKeeper(clock, log)
         self._metrics = NodeMetrics()
         self._in_flight = InFlightMap(ALLOWANCES.get(self._allowance()))
+        self._adapter = load_adapter(settings.adapter)
         self._pressure = PressureKeeper(
             PRESSURE_VARIANTS.get(
                 self._variant(decisions.BACKPRESSURE, "reported", "ignored")
@@ -87,7 +89,13 @@
         :return: a node that has not been started
         """
         quarantine = QuarantineKeeper(QuarantineList(self._clock), self._log)
-        own_server = OwnServer(self._clock, self._node_id)
+        protocol = self._adapter.backend_protocol()
+        own_server = OwnServer(
+            self._clock,
+            self._node_id,
+            protocol,
+            self._node_settings.announce_timeout_ms,
+        )
         gate = self._build_gate()
         links = self._build_links()
         router = ROUTERS.get(
@@ -108,6 +116,7 @@
             CrashWatch(self._clock, self._node_id, quarantine),
             self._pressure,
             self._metrics,
+            protocol,
         )
         claim_check = ClaimCheck(self._clock, control.claims, self._metrics)
         entry = self._build_entry(members, router, links, serving, claim_check)
@@ -124,7 +133,13 @@
             claimed_runs=claimed_runs,
             serving=serving,
             entry=entry,
-            listener=CallerListener(entry, self._tables, self._log),
+            listener=CallerListener(
+                entry,
+                self._tables,
+                self._log,
+                self._adapter.caller_protocol(self._settings, own_server),
+            ),
+            adapter=self._adapter,
             links=links,
             control=control,
             metrics=self._metrics,
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP plumbing shared by the peers that speak it."""
--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/http/body_reader.py
@@ -0,0 +1,66 @@
+"""Reads the body of a received message into the parts that a call carries."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from marjoramstep_core.errors import InvalidInputError
+
+from ..calls import INLINE_BODY_LIMIT_BYTES
+from ..calls import UNKNOWN_LENGTH
+from ..calls import Body
+from ..upload import Upload
+
+
+if TYPE_CHECKING:
+    from aiohttp import StreamReader
+
+# A caller that stops sending its body in the middle holds a stream for no longer.
+BODY_SILENCE_SECONDS = 30.0
+
+
+class BrokenBodyError(InvalidInputError):
+    """The caller's body is malformed or stopped in the middle."""
+
+
+async def read_body(payload: StreamReader, length: int | None) -> Body:
+    """Read a short body whole, and the first part of a long one.
+
+    :param payload: stream of the body
+    :param length: announced length in bytes, None if the body is chunked
+    :return: the body; what is left of a long one can be read once more from its start
+        while it is short enough
+    :raises BrokenBodyError: if the body breaks off
+    """
+    first = bytearray()
+    is_short = length is not None and length <= INLINE_BODY_LIMIT_BYTES
+    while is_short or len(first) < INLINE_BODY_LIMIT_BYTES:
+        part = await _read_part(payload, INLINE_BODY_LIMIT_BYTES - len(first))
+        if not part:
+            return Body(bytes(first), length=len(first))
+        first += part
+    upload = Upload(lambda: _read_part(payload, INLINE_BODY_LIMIT_BYTES), len(first))
+    return Body(
+        bytes(first),
+        rest=upload.open(),
+        length=UNKNOWN_LENGTH if length is None else length,
+        upload=upload,
+    )
+
+
+async def _read_part(payload: StreamReader, limit_bytes: int) -> bytes:
+    try:
+        async with asyncio.timeout(BODY_SILENCE_SECONDS):
+            return await payload.read(max(limit_bytes, 1))
+    except (TimeoutError, OSError, ConnectionError) as error:
+        raise _broken(str(error) or "timed out") from error
+    except Exception as error:
+        # The parser reports a malformed body by errors of several libraries.
+        raise _broken(str(error) or type(error).__name__) from error
+
+
+def _broken(text: str) -> BrokenBodyError:
+    return BrokenBodyError(
+        f"the caller's body broke off: {text}", step="read body", peer="caller"
+    )
--- a/packages/daemon/src/marjoramstep_daemon/main.py
+++ b/packages/daemon/src/marjoramstep_daemon/main.py
@@ -46,7 +46,7 @@
             replica_id = initialize_data_folder(settings)
             sys.stdout.write(f"data folder of {replica_id} initialized\n")
             return 0
-        return _serve(settings)
+        return _serve(settings, settings_file)
     except MarjoramstepError as error:
         sys.stderr.write(f"marjoramstepd: {error}\n")
     except OSError as error:
@@ -54,9 +54,9 @@
     return EXIT_FAILURE
 
 
-def _serve(settings: Settings) -> int:
+def _serve(settings: Settings, settings_file: Path) -> int:
     open_log(settings.log_file)
-    status: int = uvloop.run(Daemon(settings).run())
+    status: int = uvloop.run(Daemon(settings, settings_file).run())
     return status
 
 
--- a/packages/daemon/src/marjoramstep_daemon/node.py
+++ b/packages/daemon/src/marjoramstep_daemon/node.py
@@ -9,11 +9,10 @@
 
 from marjoramstep_core.states import ServerState
 
-from .backend_servers.announce_listener import make_announce_app
+from .http.site import HttpSite
 from .nodes.session import NodeSession
 from .operators.node_http import make_node_app
 from .peer_listener import Route
-from .platform.http_site import HttpSite
 
 
 if TYPE_CHECKING:
@@ -21,10 +20,10 @@
     from marjoramstep_core.ids import ZoneName
     from marjoramstep_wire.connection import PeerConnection
 
+    from .adapter import Adapter
     from .backend_servers.admission_gate import AdmissionGate
     from .backend_servers.claimed_runs import ClaimedRuns
     from .backend_servers.in_flight import InFlightMap
-    from .backend_servers.own_server import Announcement
     from .backend_servers.own_server import OwnServer
     from .backend_servers.serving import ServingService
     from .callers.entry import EntryService
@@ -41,6 +40,7 @@
 
 HOUSEKEEPING_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.05
+SECOND_MS = 1_000.0
 # Time for the last answers to leave the sockets before these are closed.
 FLUSH_SECONDS = 0.2
 
@@ -66,15 +66,21 @@
     control: ControlClient
     metrics: NodeMetrics
     quarantine: QuarantineKeeper
+    adapter: Adapter
 
     def __post_init__(self) -> None:
         self._tasks: list[asyncio.Task[None]] = []
         self._sessions: set[NodeSession] = set()
-        self._announce_site = HttpSite(make_announce_app(self._announce))
+        self._is_leaving = False
+        self._announce_site = HttpSite(
+            self.adapter.make_announce_app(self.own_server, self.log)
+        )
+        ready_app = self.adapter.make_ready_app(self.is_healthy)
+        self._ready_site = None if ready_app is None else HttpSite(ready_app)
         self._metrics_site = HttpSite(
             make_node_app(self.metrics, self.status, self.is_healthy)
         )
-        self.own_server.on_change = self.control.register
+        self.own_server.on_change = self._on_server_change
         self.metrics.set_gauges(self._gauges)
 
     async def start(
@@ -98,6 +104,10 @@
                 self.node_settings.metrics_address
             ),
         }
+        if self._ready_site is not None and self.node_settings.ready_address:
+            bound["ready"] = await self._ready_site.start(
+                self.node_settings.ready_address
+            )
         self._tasks = [
             asyncio.create_task(self.control.run()),
             asyncio.create_task(self._run_housekeeping()),
@@ -133,23 +143,35 @@
 
         :return: whether there is a table and no shutdown
         """
-        return self.tables.has_table and not self.serving.is_shutting_down
+        return self.tables.has_table and not self._is_leaving
+
+    async def linger(self) -> None:
+        """Serve on for a while, so that callers can learn to go elsewhere."""
+        self._is_leaving = True
+        self.listener.announce_close()
+        await asyncio.sleep(self.node_settings.shutdown_linger_ms / SECOND_MS)
 
     def begin_shutdown(self) -> None:
         """Refuse new work; what is in flight goes on."""
+        self._is_leaving = True
         self.entry.is_shutting_down = True
         self.serving.is_shutting_down = True
         self.own_server.leave()
 
     async def drain(self) -> None:
         """Wait until nothing is in flight and everything is recorded."""
-        while self.listener.in_progress() or any(s.in_progress for s in self._sessions):
+        while self._has_work():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         while len(self.in_flight):
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         await self.claimed_runs.finish()
         await asyncio.sleep(FLUSH_SECONDS)
 
+    def _has_work(self) -> bool:
+        return self.listener.has_unsent_answers() or any(
+            session.in_progress for session in self._sessions
+        )
+
     def cut_off(self) -> list[str]:
         """Name what a forced shutdown cuts off.
 
@@ -169,6 +191,8 @@
         self.links.close()
         await self._announce_site.close()
         await self._metrics_site.close()
+        if self._ready_site is not None:
+            await self._ready_site.close()
         await self.own_server.close()
 
     def _open_session(self, connection: PeerConnection) -> NodeSession:
@@ -184,9 +208,11 @@
         self._sessions.add(session)
         return session
 
-    async def _announce(self, announcement: Announcement) -> None:
-        await self.own_server.announce(announcement)
-        self.gate.set_slots(announcement.slots)
+    def _on_server_change(self) -> None:
+        announcement = self.own_server.announcement
+        if announcement is not None:
+            self.gate.set_slots(announcement.slots)
+        self.control.register()
 
     async def _run_housekeeping(self) -> None:
         while True:
--- a/packages/daemon/src/marjoramstep_daemon/nodes/conversion.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/conversion.py
@@ -106,6 +106,7 @@
             load=load,
             table_version=table_version,
             retry_after_ms=reply.retry_after_ms,
+            reached_server=reply.reached_server,
         )
     return CallFailed(
         stream_id=stream_id,
@@ -150,6 +151,7 @@
         _checked_tokens(message.retry_tokens),
         message.load,
         message.retry_after_ms,
+        message.reached_server,
     )
 
 
--- a/packages/daemon/src/marjoramstep_daemon/nodes/session.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/session.py
@@ -11,6 +11,7 @@
 from marjoramstep_core.errors import ProtocolError
 from marjoramstep_core.ids import RequestKey
 from marjoramstep_core.ids import RootId
+from marjoramstep_core.ids import RowName
 from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.states import Reason
 from marjoramstep_core.states import SizeClass
@@ -237,7 +238,9 @@
         if not self._tables.has_table:
             return Refused(Reason.NO_TABLE, retry_tokens=message.retry_tokens)
         service = ServiceName(message.service_name)
-        row = self._tables.match(service, message.method, message.path)
+        row = self._tables.find(
+            RowName(message.row_name), service, message.method, message.path
+        )
         call = stream.call = Call(
             service=service,
             method=message.method,
--- a/packages/daemon/src/marjoramstep_daemon/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Interface towards the platform."""
--- a/packages/daemon/src/marjoramstep_daemon/settings.py
+++ b/packages/daemon/src/marjoramstep_daemon/settings.py
@@ -17,7 +17,9 @@
 
 Address = tuple[str, int]
 DEFAULT_SHUTDOWN_LIMIT_MS = 600_000
+DEFAULT_ANNOUNCE_TIMEOUT_MS = 3_000
 MINIMUM_KEY_BYTES = 16
+NATIVE = "native"
 _NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _MISSING = object()
@@ -46,6 +48,10 @@
     caller_address: Address
     announce_address: Address
     metrics_address: Address
+    ready_address: Address | None
+    backend_service: str
+    announce_timeout_ms: int
+    shutdown_linger_ms: int
     disabled_decisions: frozenset[str]
 
 
@@ -55,8 +61,11 @@
 
     data_folder: Path
     operator_address: Address
+    adapter_address: Address | None
     operators: tuple[OperatorSettings, ...]
     initial_replicas: tuple[ReplicaSettings, ...]
+    starts_deployment: bool
+    manages_replicas: bool
 
 
 @dataclass(frozen=True)
@@ -70,6 +79,7 @@
     deployment_key: bytes
     control_addresses: tuple[Address, ...]
     log_file: str
+    adapter: str
     shutdown_limit_ms: int
     node: NodeSettings | None
     control: ControlSettings | None
@@ -127,6 +137,24 @@
             self.fault(key, value, f"a whole number from {low} to {high}")
         return value
 
+    def optional_text(self, key: str) -> str:
+        value = self.take(key, "")
+        if not isinstance(value, str):
+            self.fault(key, value, "a text")
+            return ""
+        return value
+
+    def flag(self, key: str) -> bool:
+        value = self.take(key, False)
+        if not isinstance(value, bool):
+            self.fault(key, value, "true or false")
+            return False
+        return value
+
+    def optional_address(self, key: str) -> Address | None:
+        value = self.take(key, None)
+        return None if value is None else self._to_address(key, value)
+
     def address(self, key: str) -> Address:
         return self._to_address(key, self.take(key))
 
@@ -198,8 +226,9 @@
         zone=reader.name("zone"),
         peer_address=reader.address("peer_address"),
         deployment_key=_read_key(reader),
-        control_addresses=reader.addresses("control_addresses"),
+        control_addresses=_read_control_addresses(reader),
         log_file=reader.text("log_file", "-"),
+        adapter=reader.text("adapter", NATIVE),
         shutdown_limit_ms=reader.integer(
             "shutdown_limit_ms", 0, 24 * 3_600_000, DEFAULT_SHUTDOWN_LIMIT_MS
         ),
@@ -212,6 +241,14 @@
     return settings
 
 
+def _read_control_addresses(reader: _Reader) -> tuple[Address, ...]:
+    addresses = reader.addresses("control_addresses")
+    port = reader.integer("control_peer_port", 0, 65_535, 0)
+    if not port:
+        return addresses
+    return tuple((host, port) for host, _ in addresses)
+
+
 def _read_roles(reader: _Reader) -> frozenset[Role]:
     names = [role.value for role in Role]
     values = reader.items("role")
@@ -250,6 +287,12 @@
         caller_address=reader.address("caller_address"),
         announce_address=reader.address("announce_address"),
         metrics_address=reader.address("metrics_address"),
+        ready_address=reader.optional_address("ready_address"),
+        backend_service=reader.optional_text("backend_service"),
+        announce_timeout_ms=reader.integer(
+            "announce_timeout_ms", 100, 3_600_000, DEFAULT_ANNOUNCE_TIMEOUT_MS
+        ),
+        shutdown_linger_ms=reader.integer("shutdown_linger_ms", 0, 3_600_000, 0),
         disabled_decisions=frozenset(disabled),
     )
     reader.finish()
@@ -260,6 +303,7 @@
     settings = ControlSettings(
         data_folder=Path(reader.text("data_folder")),
         operator_address=reader.address("operator_address"),
+        adapter_address=reader.optional_address("adapter_address"),
         operators=tuple(
             _read_operator(reader.section(f"operators[{i}]", value))
             for i, value in enumerate(reader.items("operators"))
@@ -268,6 +312,8 @@
             _read_replica(reader.section(f"initial_replicas[{i}]", value))
             for i, value in enumerate(reader.items("initial_replicas"))
         ),
+        starts_deployment=reader.flag("starts_deployment"),
+        manages_replicas=reader.flag("manages_replicas"),
     )
     reader.finish()
     return settings
--- /dev/null
+++ b/packages/platform/src/marjoramstep_platform/__init__.py
@@ -0,0 +1,11 @@
+"""Adapter between marjoramstep and the platform of its users.
+
+Importing this package registers the adapter.
+"""
+
+from __future__ import annotations
+
+from .adapter import PlatformAdapter
+
+
+__all__ = ["PlatformAdapter"]
--- /dev/null
+++ b/packages/platform/src/marjoramstep_platform/adapter.py
@@ -0,0 +1,64 @@
+"""The adapter that the daemon loads by the name of this package."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from marjoramstep_daemon.adapter import ADAPTERS
+
+from .backend_servers import PlatformBackendProtocol
+from .callers import PlatformCallerProtocol
+from .heartbeats import HeartbeatApi
+from .operator_api import ConfigurationApi
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from marjoramstep_daemon.backend_servers.own_server import OwnServer
+    from marjoramstep_daemon.control.replica import Replica
+    from marjoramstep_daemon.log import EventLog
+    from marjoramstep_daemon.settings import Settings
+
+
+@ADAPTERS.register("marjoramstep_platform")
+class PlatformAdapter:
+    """Speaks the interfaces of the platform."""
+
+    def caller_protocol(
+        self, settings: Settings, own_server: OwnServer
+    ) -> PlatformCallerProtocol:
+        """Route requests by host and path."""
+
+        def own_service() -> str:
+            announcement = own_server.announcement
+            if announcement is not None:
+                return announcement.service
+            return "" if settings.node is None else settings.node.backend_service
+
+        return PlatformCallerProtocol(own_service)
+
+    def backend_protocol(self) -> PlatformBackendProtocol:
+        """Name the incarnation that may run a request."""
+        return PlatformBackendProtocol()
+
+    def make_announce_app(
+        self, own_server: OwnServer, log: EventLog
+    ) -> web.Application:
+        """Take the heartbeats of the server on this VM."""
+        return HeartbeatApi(own_server, log).make_app()
+
+    def make_ready_app(self, is_ready: Callable[[], bool]) -> web.Application:
+        """Tell the platform whether clients may come."""
+
+        async def get_ready(_: web.Request) -> web.Response:
+            return web.Response(status=200 if is_ready() else 503)
+
+        app = web.Application()
+        app.router.add_get("/-/ready", get_ready)
+        return app
+
+    def make_operator_app(self, replica: Replica, log: EventLog) -> web.Application:
+        """Take configurations of operators."""
+        return ConfigurationApi(replica, log).make_app()
--- /dev/null
+++ b/packages/platform/src/marjoramstep_platform/operator_api.py
@@ -0,0 +1,113 @@
+"""The configuration as the platform's operators write and read it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from aiohttp import web
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.errors import UnavailableError
+from marjoramstep_core.ids import OperatorName
+from marjoramstep_daemon.control.replicated_state import NotLeaderError
+from marjoramstep_state.commands import ReplaceTable
+from marjoramstep_state.results import EditResult
+from marjoramstep_state.results import EditVerdict
+
+from .configuration import Configuration
+
+
+if TYPE_CHECKING:
+    from marjoramstep_daemon.control.replica import Replica
+    from marjoramstep_daemon.log import EventLog
+    from marjoramstep_state.commands import Command
+
+BODY_LIMIT_BYTES = 1024 * 1024
+# The platform does not say who its operators are.
+OPERATOR = OperatorName("operator")
+_STATUS = {
+    EditVerdict.ACCEPTED: 200,
+    EditVerdict.CONFLICT: 412,
+    EditVerdict.REFUSED: 400,
+}
+
+
+class ConfigurationApi:
+    """Replaces the table as a whole and reads it back.
+
+    :param replica: the replica of this process
+    :param log: event log
+    """
+
+    def __init__(self, replica: Replica, log: EventLog) -> None:
+        self._replica = replica
+        self._log = log
+
+    def make_app(self) -> web.Application:
+        """Build the application of the adapter's address."""
+        app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        app.router.add_put("/-/config", self._put)
+        app.router.add_get("/-/config", self._get)
+        return app
+
+    async def _put(self, request: web.Request) -> web.Response:
+        try:
+            configuration = Configuration.decode(await request.read())
+        except InvalidInputError as error:
+            self._log.write(
+                "configuration refused", step=error.step, error=error.message
+            )
+            return web.json_response({"error": error.message}, status=400)
+        try:
+            result = await self._submit(configuration, request.remote or "unknown")
+        except (NotLeaderError, UnavailableError) as error:
+            return self._elsewhere(request, error)
+        self._log.write(
+            "configuration decided",
+            step="replace table",
+            version=configuration.version,
+            base_version=configuration.base_version,
+            verdict=result.verdict.value,
+        )
+        body = {"verdict": result.verdict.value}
+        return web.json_response(body, status=_STATUS[result.verdict])
+
+    async def _submit(self, configuration: Configuration, origin: str) -> EditResult:
+        def make(log_time_ms: int) -> Command:
+            return ReplaceTable(
+                log_time_ms,
+                configuration.digest,
+                configuration.version,
+                configuration.base_version,
+                OPERATOR,
+                origin,
+                configuration.rows,
+                configuration.source,
+            )
+
+        result = await self._replica.submit(make)
+        assert isinstance(result, EditResult)
+        return result
+
+    async def _get(self, request: web.Request) -> web.Response:
+        try:
+            await self._replica.confirm_read()
+        except (NotLeaderError, UnavailableError) as error:
+            return self._elsewhere(request, error)
+        source = self._replica.machine.source
+        if not source:
+            return web.json_response({"error": "no configuration yet"}, status=503)
+        return web.Response(text=source, content_type="application/json")
+
+    def _elsewhere(
+        self, request: web.Request, error: NotLeaderError | UnavailableError
+    ) -> web.Response:
+        """Send the operator to the leader, or ask to come again."""
+        self._log.write("operator sent on", step=error.step, error=error.message)
+        leader = self._replica.leader_address
+        own = self._replica.address
+        if not leader or leader == own:
+            return web.json_response({"error": error.message}, status=503)
+        port = request.transport.get_extra_info("sockname")[1]  # type: ignore[union-attr]
+        host = leader.rpartition(":")[0]
+        location = f"http://{host}:{port}{request.path}"
+        return web.Response(status=307, headers={"Location": location})
--- a/packages/policy/src/marjoramstep_policy/routing/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/routing/__init__.py
@@ -8,6 +8,7 @@
 from .router import ROUTERS
 from .router import Router
 from .router import UniformRouter
+from .targets import TargetChooser
 
 
 __all__ = [
@@ -16,5 +17,6 @@
     "RouteLoad",
     "RouteMember",
     "Router",
+    "TargetChooser",
     "UniformRouter",
 ]
--- a/packages/state/src/marjoramstep_state/commands.py
+++ b/packages/state/src/marjoramstep_state/commands.py
@@ -121,6 +121,61 @@
         )
 
 
+@COMMANDS.register("replace-table")
+@dataclass(frozen=True)
+class ReplaceTable:
+    """Replacement of the whole table by compare-and-set on its revision.
+
+    :param log_time_ms: time of the log entry
+    :param edit_key: digest of the content, so that a resend is recognised
+    :param revision: number that the operator gave to the new table
+    :param base_revision: number of the table that the operator started from
+    :param operator: who edits
+    :param origin: address from where
+    :param rows: cells of all rows
+    :param source: what the operator sent, kept to be read back
+    """
+
+    kind: ClassVar[str] = "replace-table"
+    log_time_ms: int
+    edit_key: EditKey
+    revision: int
+    base_revision: int
+    operator: OperatorName
+    origin: str
+    rows: tuple[dict[str, object], ...]
+    source: str
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the fields as JSON values."""
+        return {**vars(self), "rows": list(self.rows)}
+
+    @classmethod
+    def from_json(cls, fields: Fields) -> ReplaceTable:
+        """Build the command; raises :class:`InvalidCommandError`."""
+        return cls(
+            fields.time_ms("log_time_ms"),
+            EditKey(fields.edit_key("edit_key")),
+            fields.integer("revision"),
+            fields.integer("base_revision"),
+            OperatorName(fields.name("operator")),
+            fields.text("origin"),
+            tuple(map(_read_cells, fields.items("rows"))),
+            fields.text("source", limit=COMMAND_LIMIT_BYTES),
+        )
+
+
+def _read_cells(document: Any) -> dict[str, object]:
+    if not isinstance(document, dict):
+        raise InvalidCommandError("rows: expected objects of cells")
+    for column, value in document.items():
+        if isinstance(value, (dict, list)):
+            raise InvalidCommandError(
+                f"{column[:64]}: expected a text, a number, true or false"
+            )
+    return document
+
+
 def _read_operation(document: Any) -> EditOperation:
     try:
         operation = EditOperation.from_json(document)
--- a/packages/state/src/marjoramstep_state/edits.py
+++ b/packages/state/src/marjoramstep_state/edits.py
@@ -10,26 +10,34 @@
 import orjson
 from marjoramstep_core.ids import EditKey
 from marjoramstep_core.ids import TableVersion
+from marjoramstep_core.table import DEFAULT_ROW_NAME
 from marjoramstep_core.table import Row
 from marjoramstep_core.table import Table
 from marjoramstep_core.table import apply_operations
 from marjoramstep_core.table.row import CellFault
 from marjoramstep_core.table.row import InvalidCellsError
+from marjoramstep_core.table.table import ROW_LIMIT
 
 from .errors import InvalidSnapshotError
 from .fields import Fields
+from .limits import COMMAND_LIMIT_BYTES
 from .results import EditResult
 from .results import EditVerdict
 from .results import EditWinner
 
 
 if TYPE_CHECKING:
+    from marjoramstep_core.ids import RowName
+
     from .commands import EditTable
+    from .commands import ReplaceTable
     from .limits import StateLimits
 
 FAULT_VALUE_LIMIT_CHARACTERS = 200
 # Bounds the stored verdict of an edit with many faults.
 FAULT_LIMIT = 1000
+# Accepted replacements that a resend is recognised by.
+REVISION_MEMORY = 10_000
 
 
 @dataclass(frozen=True)
@@ -53,6 +61,19 @@
         self._current = Table()
         self._winners: dict[TableVersion, EditWinner] = {}
         self._decided: dict[EditKey, _Decided] = {}
+        self._revision = 0
+        self._source = ""
+        self._replacements: dict[EditKey, int] = {}
+
+    @property
+    def revision(self) -> int:
+        """Number of the last accepted replacement, 0 before any."""
+        return self._revision
+
+    @property
+    def source(self) -> str:
+        """Source text of the last accepted replacement, empty before any."""
+        return self._source
 
     @property
     def table(self) -> Table:
@@ -98,6 +119,41 @@
         self._decided[command.edit_key] = _Decided(watermark_ms, content_sha256, result)
         return result, False
 
+    def replace(
+        self, command: ReplaceTable, watermark_ms: int
+    ) -> tuple[EditResult, bool]:
+        """Decide a replacement of the whole table.
+
+        One that was accepted before is accepted again. A refusal is not remembered:
+        the base of a replacement may be accepted after it was refused.
+
+        :param command: the replacement
+        :param watermark_ms: highest log time in Unix milliseconds
+        :return: the verdict, and whether it repeats an acceptance
+        """
+        version = self._current.version
+        if command.edit_key in self._replacements:
+            return EditResult(EditVerdict.ACCEPTED, version), True
+        if command.base_revision != self._revision:
+            winner = self._winners.get(version)
+            return EditResult(EditVerdict.CONFLICT, version, winner=winner), False
+        if command.revision <= self._revision:
+            problem = f"expected a revision above {self._revision}"
+            value = str(command.revision)
+            return self._refused("revision", value, problem), False
+        try:
+            table = _replaced(self._current, command)
+        except InvalidCellsError as error:
+            faults = tuple(map(_shorten, error.faults[:FAULT_LIMIT]))
+            return EditResult(EditVerdict.REFUSED, version, faults), False
+        self._accept(command, table, watermark_ms)
+        self._revision = command.revision
+        self._source = command.source
+        self._replacements[command.edit_key] = command.revision
+        while len(self._replacements) > REVISION_MEMORY:
+            del self._replacements[next(iter(self._replacements))]
+        return EditResult(EditVerdict.ACCEPTED, table.version), False
+
     def prune(self, watermark_ms: int) -> int:
         """Remove a bounded number of verdicts whose time is over.
 
@@ -130,7 +186,9 @@
         self._accept(command, table, watermark_ms)
         return EditResult(EditVerdict.ACCEPTED, table.version)
 
-    def _accept(self, command: EditTable, table: Table, watermark_ms: int) -> None:
+    def _accept(
+        self, command: EditTable | ReplaceTable, table: Table, watermark_ms: int
+    ) -> None:
         self._current = table
         self._versions[table.version] = table
         self._winners[table.version] = EditWinner(
@@ -165,6 +223,9 @@
                 [key, d.time_ms, d.content_sha256, d.result.to_json()]
                 for key, d in self._decided.items()
             ],
+            "revision": self._revision,
+            "source": self._source,
+            "replacements": list(self._replacements.items()),
         }
 
     @classmethod
@@ -189,9 +250,31 @@
         for key, time_ms, content_sha256, result in fields.items("verdicts"):
             decided = _Decided(time_ms, content_sha256, EditResult.from_json(result))
             book._decided[EditKey(key)] = decided
+        if "revision" in document:
+            # Snapshots of earlier releases have no revision.
+            book._revision = fields.integer("revision")
+            book._source = fields.text("source", limit=COMMAND_LIMIT_BYTES)
+            for key, revision in fields.items("replacements"):
+                book._replacements[EditKey(key)] = int(revision)
         return book
 
 
+def _replaced(table: Table, command: ReplaceTable) -> Table:
+    rows: dict[RowName, Row] = {}
+    for row in map(Row.from_cells, command.rows):
+        if row.name in rows:
+            fault = CellFault(row.name, "name", row.name, "expected a unique name")
+            raise InvalidCellsError([fault])
+        # An unchanged row stays the same object, which keeps deltas small.
+        previous = table.rows.get(row.name)
+        rows[row.name] = previous if previous == row else row
+    rows.setdefault(DEFAULT_ROW_NAME, Table().rows[DEFAULT_ROW_NAME])
+    if len(rows) > ROW_LIMIT:
+        problem = f"a table holds at most {ROW_LIMIT} rows"
+        raise InvalidCellsError([CellFault("", "name", str(len(rows)), problem)])
+    return Table(TableVersion(table.version + 1), rows)
+
+
 def _content_sha256(command: EditTable) -> str:
     operations = [operation.to_json() for operation in command.operations]
     content = [command.base_version, operations]
--- a/packages/state/src/marjoramstep_state/machine.py
+++ b/packages/state/src/marjoramstep_state/machine.py
@@ -18,6 +18,7 @@
 from .commands import EndClaim
 from .commands import LookUpClaim
 from .commands import RecordReplicaChange
+from .commands import ReplaceTable
 from .commands import ReportCrash
 from .commands import decode_command
 from .edits import EditBook
@@ -100,6 +101,16 @@
         """The table in force."""
         return self._edits.table
 
+    @property
+    def revision(self) -> int:
+        """Number of the last accepted replacement of the table, 0 before any."""
+        return self._edits.revision
+
+    @property
+    def source(self) -> str:
+        """Source text of the last accepted replacement, empty before any."""
+        return self._edits.source
+
     def table_version(self, version: TableVersion) -> Table | None:
         """Return a recent version of the table.
 
@@ -181,6 +192,8 @@
             return self._claims.apply(command, self._watermark_ms)
         if isinstance(command, EditTable):
             return self._apply_edit(command)
+        if isinstance(command, ReplaceTable):
+            return self._replace_table(command)
         if isinstance(command, ReportCrash):
             return self._quarantine.apply(command, self._watermark_ms)
         if isinstance(command, RecordReplicaChange):
@@ -194,6 +207,31 @@
         result, repeated = self._edits.apply(command, self._watermark_ms)
         if repeated:
             return result
+        refused: dict[str, Any] = {
+            "base_version": command.base_version,
+            "refused": [operation.to_json() for operation in command.operations],
+        }
+        self._audit_edit(command, before_table, result, refused)
+        return result
+
+    def _replace_table(self, command: ReplaceTable) -> EditResult:
+        before_table = self._edits.table
+        result, repeated = self._edits.replace(command, self._watermark_ms)
+        if not repeated:
+            refused = {
+                "base_revision": command.base_revision,
+                "revision": command.revision,
+            }
+            self._audit_edit(command, before_table, result, refused)
+        return result
+
+    def _audit_edit(
+        self,
+        command: EditTable | ReplaceTable,
+        before_table: Table,
+        result: EditResult,
+        refused: dict[str, Any],
+    ) -> None:
         before: dict[str, Any] = {"version": before_table.version}
         after: dict[str, Any] = {"version": result.version}
         if result.verdict is EditVerdict.ACCEPTED:
@@ -201,8 +239,7 @@
             before["cells"] = [[c.row, c.column, c.before] for c in changes]
             after["cells"] = [[c.row, c.column, c.after] for c in changes]
         else:
-            after["base_version"] = command.base_version
-            after["refused"] = [operation.to_json() for operation in command.operations]
+            after |= refused
             after["faults"] = result.to_json()["faults"]
             after["winner"] = result.to_json()["winner"]
         after["edit_key"] = command.edit_key
@@ -215,7 +252,6 @@
             before=before,
             after=after,
         )
-        return result
 
     def _record_change(self, command: RecordReplicaChange) -> RecordedResult:
         after: dict[str, Any] = {
--- a/packages/wire/src/marjoramstep_wire/connection.py
+++ b/packages/wire/src/marjoramstep_wire/connection.py
@@ -22,8 +22,10 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-HANDSHAKE_TIMEOUT_SECONDS = 5.0
-CONNECT_TIMEOUT_SECONDS = 3.0
+HANDSHAKE_TIMEOUT_SECONDS = 1.5
+# A lost opening packet is sent again only after a second or more, so a new attempt
+# reaches a peer that is back sooner than an old one.
+CONNECT_TIMEOUT_SECONDS = 1.0
 WRITE_BUFFER_LIMIT_BYTES = 16 * 1024 * 1024
 WRITE_BUFFER_HIGH_BYTES = 512 * 1024
 
@@ -225,9 +227,9 @@
     host, port = address
     loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS + HANDSHAKE_TIMEOUT_SECONDS):
+        async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
             _, connection = await loop.create_connection(make_connection, host, port)
-            await connection.opened
+        await connection.opened
     except (OSError, TimeoutError) as error:
         raise ConnectionFailedError(
             f"cannot connect: {error or 'timed out'}",
--- a/packages/wire/src/marjoramstep_wire/messages.py
+++ b/packages/wire/src/marjoramstep_wire/messages.py
@@ -36,6 +36,7 @@
 from .generated.ttypes import Refusal
 from .generated.ttypes import RegisterReply
 from .generated.ttypes import RegisterServer
+from .generated.ttypes import ReplicaList
 from .generated.ttypes import ServicePressure
 from .generated.ttypes import SnapshotPart
 from .generated.ttypes import SnapshotReply
@@ -67,6 +68,7 @@
     30: TableGet,
     31: TableReply,
     32: TableNotice,
+    33: ReplicaList,
     40: RegisterServer,
     41: RegisterReply,
     42: WatchService,
@@ -123,6 +125,7 @@
     "Refusal",
     "RegisterReply",
     "RegisterServer",
+    "ReplicaList",
     "ServicePressure",
     "SnapshotPart",
     "SnapshotReply",
--- a/packages/wire/src/marjoramstep_wire/messages.thrift
+++ b/packages/wire/src/marjoramstep_wire/messages.thrift
@@ -91,6 +91,7 @@
   5: required LoadReport load
   6: required i64 table_version
   7: required double retry_after_ms
+  8: required bool reached_server
 }
 
 /** The call may have run, and its answer is not available. */
@@ -129,6 +130,11 @@
   1: required i64 version
 }
 
+/** Peer addresses of all replicas that the sender knows. */
+struct ReplicaList {
+  1: required list<string> addresses
+}
+
 struct Member {
   1: required string server_id
   2: required string node_id
