Keep calls in their zone, log each decision and notice silent peers

The router now leaves the own zone only when its member is pressed, refuses or is overdue. Logs go to standard output through a bounded buffer, with a line for each refusal, failure, move and second send. A peer that owes a reply and gives no sign of life is passed over; a broken exchange counts as a crash only if the backend server takes no new connection.

--- a/features/steps/daemon_backend_server_client_steps.py
+++ b/features/steps/daemon_backend_server_client_steps.py
@@ -17,7 +17,9 @@
 from marjoramstep_daemon.backend_servers.client import BackendFault
 from marjoramstep_daemon.backend_servers.client import BackendServerClient
 from marjoramstep_daemon.backend_servers.client import BackendServerError
+from marjoramstep_daemon.backend_servers.protocol import NativeBackendProtocol
 from marjoramstep_daemon.calls import Body
+from multidict import CIMultiDict
 
 
 if TYPE_CHECKING:
@@ -63,7 +65,8 @@
 @asynccontextmanager
 async def _client(server: RawServer) -> AsyncIterator[BackendServerClient]:
     listener = await asyncio.start_server(server.handle, "127.0.0.1", 0)
-    client = BackendServerClient(listener.sockets[0].getsockname(), 10)
+    address = listener.sockets[0].getsockname()
+    client = BackendServerClient(address, 10, NativeBackendProtocol())
     try:
         yield client
     finally:
@@ -75,7 +78,8 @@
     """Return the content of the answer, or the error."""
     fields.setdefault("body", Body())
     try:
-        reply = await client.send(make_call(method="GET", **fields), [])
+        call = make_call(method="GET", **fields)
+        reply = await client.send(call, CIMultiDict({"Host": "backend"}))
         return b"".join([part async for part in reply.body.parts()])
     except MarjoramstepError as error:
         return error
@@ -119,7 +123,7 @@
         address = listener.sockets[0].getsockname()
         listener.close()
         await listener.wait_closed()
-        client = BackendServerClient(address, 10)
+        client = BackendServerClient(address, 10, NativeBackendProtocol())
         context.result = await _send(client)
         await client.close()
 
--- a/features/steps/daemon_claim_check_steps.py
+++ b/features/steps/daemon_claim_check_steps.py
@@ -107,6 +107,7 @@
     entry = EntryService(
         CLOCK, tables, unused, unused, unused, unused, unused, unused,
         NodeMetrics(), context.recording,  # type: ignore[arg-type]
+        EventLog(CLOCK, "test"),
     )  # fmt: skip
     entry.is_shutting_down = True
 
--- a/features/steps/daemon_entry_steps.py
+++ b/features/steps/daemon_entry_steps.py
@@ -291,6 +291,7 @@
         RetryAllowance,
         NodeMetrics(),
         NeverClaimed(),  # type: ignore[arg-type]
+        EventLog(CLOCK, "test"),
     )
 
 
--- a/features/steps/daemon_harness.py
+++ b/features/steps/daemon_harness.py
@@ -141,6 +141,7 @@
         load=EMPTY_LOAD,
         table_version=1,
         retry_after_ms=0.0,
+        reached_server=False,
     )
 
 
--- a/features/steps/daemon_silent_callers_steps.py
+++ b/features/steps/daemon_silent_callers_steps.py
@@ -14,10 +14,10 @@
 from marjoramstep_core.errors import MarjoramstepError
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
-from marjoramstep_daemon.callers import listener as listener_module
 from marjoramstep_daemon.callers.entry import EntryResult
 from marjoramstep_daemon.callers.listener import CallerListener
 from marjoramstep_daemon.calls import Failed
+from marjoramstep_daemon.http import body_reader
 from marjoramstep_daemon.log import EventLog
 
 
@@ -59,7 +59,7 @@
         await listener.stop_listening()
         await listener.close()
 
-    with mock.patch.object(listener_module, "BODY_SILENCE_SECONDS", SILENCE_SECONDS):
+    with mock.patch.object(body_reader, "BODY_SILENCE_SECONDS", SILENCE_SECONDS):
         run(scenario())
 
 
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from enum import Enum
 from enum import unique
 from functools import partial
@@ -33,6 +34,8 @@
     from .server_connection import ServerAnswer
 
 Address = tuple[str, int]
+# A backend server on the same VM answers a connection within a few milliseconds.
+ALIVE_SECONDS = 0.15
 
 
 @unique
@@ -110,6 +113,18 @@
                 raise connection.upload_error from error
             raise self._error(error, BackendFault.BROKEN) from error
 
+    async def is_alive(self) -> bool:
+        """Tell whether the backend server takes a new connection.
+
+        :return: whether it does
+        """
+        try:
+            async with asyncio.timeout(ALIVE_SECONDS):
+                await self._pool.open_spare()
+        except (NotConnectedError, TimeoutError):
+            return False
+        return True
+
     async def close(self) -> None:
         """Close all connections."""
         self._pool.close()
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
@@ -55,6 +55,13 @@
             raise self._error("the limit of connections is reached")
         return await self._connect()
 
+    async def open_spare(self) -> None:
+        """Open a connection and keep it for a later request.
+
+        :raises NotConnectedError: if it cannot be opened
+        """
+        self._on_free(await self._connect())
+
     def close(self) -> None:
         """Close all connections."""
         self._is_closed = True
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
@@ -28,10 +28,12 @@
     from ..calls import Call
     from ..calls import Reply
     from ..control.quarantine_keeper import QuarantineKeeper
+    from ..log import EventLog
     from ..metrics import NodeMetrics
     from ..pressure_keeper import PressureKeeper
     from .admission_gate import AdmissionGate
     from .claimed_runs import ClaimedRuns
+    from .client import BackendServerClient
     from .crash_watch import CrashWatch
     from .in_flight import InFlightMap
     from .own_server import OwnServer
@@ -52,6 +54,7 @@
     :param crashes: finds the suspects of a crash
     :param pressure: load of the services that this node calls
     :param metrics: counters and histograms
+    :param log: told each refusal and failure
     :param protocol: the HTTP that the backend server speaks
     """
 
@@ -66,6 +69,7 @@
         crashes: CrashWatch,
         pressure: PressureKeeper,
         metrics: NodeMetrics,
+        log: EventLog,
         protocol: BackendProtocol | None = None,
     ) -> None:
         self._clock = clock
@@ -77,6 +81,7 @@
         self._crashes = crashes
         self._pressure = pressure
         self._metrics = metrics
+        self._log = log
         self._protocol = protocol or NativeBackendProtocol()
         self.is_shutting_down = False
 
@@ -91,8 +96,29 @@
             reply.load = self._load_report(set())
         if not isinstance(reply, Answer):
             self._metrics.count_reply(call, reply)
+            self._log_reply(call, reply)
         return reply
 
+    def _log_reply(self, call: Call, reply: Refused | Failed) -> None:
+        load = self._gate.load()
+        announcement = self._own_server.announcement
+        self._log.decide(
+            "call refused" if isinstance(reply, Refused) else "call failed",
+            call.request_key,
+            step="serve call",
+            reason=reply.reason.value,
+            detail=reply.detail,
+            row=call.row.name,
+            weight=call.weight,
+            left_ms=round(call.deadline_ms - self._clock.now_ms()),
+            server_state=self._own_server.state.value,
+            instance="" if announcement is None else announcement.instance,
+            in_flight=load.in_flight,
+            limit=load.limit,
+            queue_length=load.queue_length,
+            queue_delay_ms=round(load.queue_delay_ms, 1),
+        )
+
     async def _execute(self, call: Call) -> Reply:
         refusal = self._check(call)
         if refusal is not None:
@@ -187,7 +213,7 @@
             reply = await client.send(call, headers)
             call.started = not isinstance(reply, Refused)
         except BackendServerError as error:
-            reply = self._on_fault(call, error, incarnation)
+            reply = await self._on_fault(call, error, client, incarnation)
         except MarjoramstepError as error:
             reply = Failed(Reason.CANCELLED, error.message)
         except BaseException:
@@ -222,13 +248,20 @@
     def _budget_ms(self, call: Call) -> int:
         return max(int(call.deadline_ms - self._clock.now_ms()), 1)
 
-    def _on_fault(
-        self, call: Call, error: BackendServerError, incarnation: int
+    async def _on_fault(
+        self,
+        call: Call,
+        error: BackendServerError,
+        client: BackendServerClient,
+        incarnation: int,
     ) -> Reply:
         if error.fault is BackendFault.NOT_CONNECTED:
             call.started = False
             self._own_server.withdraw()
             return Refused(Reason.NO_SERVER, error.message)
+        if await client.is_alive():
+            # Only this exchange broke, so nothing speaks against another try.
+            return Failed(Reason.CONNECTION_LOST, error.message)
         self._crashes.broke(call, incarnation)
         return Failed(Reason.SERVER_CRASHED, error.message, crash_suspect=True)
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -26,6 +26,7 @@
     from ..calls import Call
     from ..calls import CallTarget
     from ..calls import Reply
+    from ..log import EventLog
     from ..metrics import NodeMetrics
     from ..nodes.link_pool import LinkPool
     from ..pressure_keeper import PressureKeeper
@@ -53,6 +54,7 @@
     :param pressure: told the load of each reply
     :param size_classes: learns durations by row
     :param metrics: counters
+    :param log: told each second send and each move to another member
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         pressure: PressureKeeper,
         size_classes: SizeClasses,
         metrics: NodeMetrics,
+        log: EventLog,
     ) -> None:
         self._clock = clock
         self._node_id = node_id
@@ -78,6 +81,7 @@
         self._pressure = pressure
         self._size_classes = size_classes
         self._metrics = metrics
+        self._log = log
 
     async def dispatch(
         self, call: Call, allowance: RetryAllowance
@@ -130,15 +134,34 @@
         if isinstance(reply, Refused) and not reply.reached_server:
             # Nothing reached a backend server, so this is no second send.
             self._metrics.count_event("moved on")
+            self._log_move("call moved on", call, reply)
             return True
         if allowance.held == 0:
             return False
         if not self._budget.try_spend(call.service):
             self._metrics.count_event("retry over service budget")
+            self._log_move("second send refused by the budget", call, reply)
             return False
         self._metrics.count_event("retry")
+        self._log_move("call sent again", call, reply)
         return allowance.take()
 
+    def _log_move(self, decision: str, call: Call, reply: Reply) -> None:
+        assert reply.reason is not None
+        load = reply.load
+        self._log.decide(
+            decision,
+            call.request_key,
+            step="route call",
+            reason=reply.reason.value,
+            detail="" if isinstance(reply, Answer) else reply.detail,
+            service=call.service,
+            left_ms=round(call.deadline_ms - self._clock.now_ms()),
+            in_flight=None if load is None else load.in_flight,
+            limit=None if load is None else load.limit,
+            queue_length=None if load is None else load.queue_length,
+        )
+
     async def _attempt(
         self, call: Call, member: RouteMember, allowance: RetryAllowance
     ) -> Reply:
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -34,6 +35,7 @@
     from ..backend_servers.in_flight import InFlightMap
     from ..calls import Reply
     from ..control.table_keeper import TableKeeper
+    from ..log import EventLog
     from ..metrics import NodeMetrics
     from ..pressure_keeper import PressureKeeper
     from .claim_check import ClaimCheck
@@ -44,6 +46,9 @@
 # Sub-calls of one request that are remembered, to recognize resends.
 SUB_CALL_LIMIT = 10_000
 SERVER_ERROR_STATUS = 500
+# One plain success in this many is logged.
+SAMPLED_SUCCESSES = 100
+UNKNOWN_AGE_MS = -1.0
 # The claim shows that nothing with this content ran under the key.
 REASONS_PROVED_BY_CLAIM = frozenset(
     {Reason.KEY_CLOSED, Reason.KEY_REUSED, Reason.BAD_KEY}
@@ -81,6 +86,7 @@
     :param make_allowance: makes the retry tokens of a request without a caller's key
     :param metrics: counters and histograms
     :param claim_check: looks up keys that are about to be reported as not run
+    :param log: told each outcome, plain successes by samples
     :param targets: chooses the service of a request that names a host
     """
 
@@ -96,6 +102,7 @@
         make_allowance: Callable[[int], RetryAllowance],
         metrics: NodeMetrics,
         claim_check: ClaimCheck,
+        log: EventLog,
         targets: TargetChooser | None = None,
     ) -> None:
         self._clock = clock
@@ -108,7 +115,9 @@
         self._make_allowance = make_allowance
         self._metrics = metrics
         self._claim_check = claim_check
+        self._log = log
         self._targets = targets or TargetChooser()
+        self._answered = 0
         self._history = KeyHistory()
         self.is_shutting_down = False
         self.in_progress = 0
@@ -127,13 +136,38 @@
         finally:
             self.in_progress -= 1
         reason = result.reply.reason
+        duration_ms = self._clock.now_ms() - started_ms
         self._metrics.count_outcome(
-            result.row_name,
-            "" if reason is None else reason.value,
-            self._clock.now_ms() - started_ms,
+            result.row_name, "" if reason is None else reason.value, duration_ms
         )
+        self._log_result(request, result, duration_ms)
         return result
 
+    def _log_result(
+        self, request: EntryRequest, result: EntryResult, duration_ms: float
+    ) -> None:
+        reply = result.reply
+        is_plain = isinstance(reply, Answer) and reply.status < SERVER_ERROR_STATUS
+        self._answered += is_plain
+        if is_plain and self._answered % SAMPLED_SUCCESSES:
+            return
+        reason = "" if reply.reason is None else reply.reason.value
+        self._log.decide(
+            "request answered" if isinstance(reply, Answer) else "request ended",
+            result.request_key,
+            step="answer caller",
+            reason=reason,
+            outcome=result.outcome.value,
+            status=reply.status if isinstance(reply, Answer) else None,
+            detail="" if isinstance(reply, Answer) else reply.detail,
+            row=result.row_name,
+            service=request.service,
+            duration_ms=round(duration_ms, 1),
+            allowed_ms=request.deadline_ms,
+            table_version=self._tables.version,
+            table_age_ms=_age(self._tables.age_ms()),
+        )
+
     async def _confirm_not_run(
         self, request: EntryRequest, result: EntryResult
     ) -> None:
@@ -314,6 +348,10 @@
         )
 
 
+def _age(age_ms: float) -> float:
+    return round(age_ms) if math.isfinite(age_ms) else UNKNOWN_AGE_MS
+
+
 def _refused(reason: Reason, key: str, row_name: str) -> EntryResult:
     return EntryResult(Refused(reason), Outcome.NOT_RUN, key, row_name)
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -12,7 +12,6 @@
 from aiohttp.http import HttpVersion11
 from aiohttp.http import StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.http_exceptions import LineTooLong
 from aiohttp.streams import EMPTY_PAYLOAD
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.errors import MarjoramstepError
@@ -73,6 +72,7 @@
     """Owns one socket; answers leave in the order of their requests.
 
     :param handle: carries one request out
+    :param refuse: builds the answer to a request whose body breaks off
     :param limits: times that the caller may take
     :param log: event log
     :param on_open: called with this connection when it opens
@@ -82,6 +82,7 @@
     def __init__(
         self,
         handle: Callable[[HttpRequest], Awaitable[HttpAnswer]],
+        refuse: Callable[[InvalidInputError], HttpAnswer],
         limits: ConnectionLimits,
         log: EventLog,
         on_open: Callable[[CallerConnection], None],
@@ -99,6 +100,7 @@
         )
         super().__init__(loop, parser)
         self._handle = handle
+        self._refuse_request = refuse
         self._limits = limits
         self._log = log
         self._on_open = on_open
@@ -237,7 +239,9 @@
             return await self._handle(request)
         except InvalidInputError as error:
             self._log.write("malformed request", step=error.step, error=error.message)
-            return plain_answer(400, error.message, closes=True)
+            answer = self._refuse_request(error)
+            answer.closes = True
+            return answer
         except Exception as error:
             # Without an answer the caller would wait until its deadline.
             self._log.write("internal error", step="answer", error=repr(error))
@@ -305,11 +309,10 @@
 
     def _refuse(self, error: HttpProcessingError) -> None:
         """Answer bytes that are no request, after the answers that are due."""
-        status = 431 if isinstance(error, LineTooLong) else 400
         text = str(error.message)[:LOGGED_ERROR_CHARACTERS]
         self._log.write("malformed request", step="http", peer="caller", error=text)
         self._is_closing = True
-        self._loop.create_task(self._send_refusal(status))
+        self._loop.create_task(self._send_refusal(400))
 
     async def _send_refusal(self, status: int) -> None:
         for exchange in list(self._exchanges):
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -113,7 +113,12 @@
 
     def _make_connection(self) -> CallerConnection:
         return CallerConnection(
-            self._handle, self._limits, self._log, self._on_open, self._on_close
+            self._handle,
+            self._protocol.refuse,
+            self._limits,
+            self._log,
+            self._on_open,
+            self._on_close,
         )
 
     def _on_open(self, connection: CallerConnection) -> None:
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -98,9 +98,9 @@
         )
         gate = self._build_gate()
         links = self._build_links()
-        router = ROUTERS.get(
-            self._variant(decisions.ROUTING, "two-choices", "uniform")
-        )(self._clock, random.Random(), self._zone)
+        router = ROUTERS.get(self._variant(decisions.ROUTING, "zone-first", "uniform"))(
+            self._clock, random.Random(), self._zone
+        )
         members = MemberKeeper(self._clock, MembershipView(), router, links, self._log)
         control = self._build_control(quarantine, own_server, members)
         claimed_runs = ClaimedRuns(
@@ -116,6 +116,7 @@
             CrashWatch(self._clock, self._node_id, quarantine),
             self._pressure,
             self._metrics,
+            self._log,
             protocol,
         )
         claim_check = ClaimCheck(self._clock, control.claims, self._metrics)
@@ -206,6 +207,7 @@
             self._pressure,
             self._size_classes,
             self._metrics,
+            self._log,
         )
         return EntryService(
             self._clock,
@@ -218,6 +220,7 @@
             ALLOWANCES.get(self._allowance()),
             self._metrics,
             claim_check,
+            self._log,
         )
 
     def _admission(self) -> str:
--- a/packages/daemon/src/marjoramstep_daemon/main.py
+++ b/packages/daemon/src/marjoramstep_daemon/main.py
@@ -55,8 +55,11 @@
 
 
 def _serve(settings: Settings, settings_file: Path) -> int:
-    open_log(settings.log_file)
-    status: int = uvloop.run(Daemon(settings, settings_file).run())
+    sink = open_log(settings.log_file)
+    try:
+        status: int = uvloop.run(Daemon(settings, settings_file).run())
+    finally:
+        sink.flush()
     return status
 
 
--- a/packages/daemon/src/marjoramstep_daemon/node.py
+++ b/packages/daemon/src/marjoramstep_daemon/node.py
@@ -111,6 +111,7 @@
         self._tasks = [
             asyncio.create_task(self.control.run()),
             asyncio.create_task(self._run_housekeeping()),
+            asyncio.create_task(self.links.run()),
         ]
         return bound
 
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link.py
@@ -15,6 +15,7 @@
 from marjoramstep_wire.messages import Cancel
 from marjoramstep_wire.messages import CancelReply
 from marjoramstep_wire.messages import Credit
+from marjoramstep_wire.messages import Ping
 from marjoramstep_wire.messages import Refusal
 
 from ..calls import Answer
@@ -41,15 +42,20 @@
 
 # How long a caller of the link waits beyond the deadline for the reply to a cancel,
 # which tells whether the call ran.
-CANCEL_REPLY_WAIT_SECONDS = 0.25
+CANCEL_REPLY_WAIT_SECONDS = 0.1
 SECOND_MS = 1_000.0
+# A peer that owes a reply is asked for a sign of life after this silence.
+PING_AFTER_SECONDS = 0.3
+# Longer than a slowed peer takes for a pong, shorter than half of the usual deadline.
+SILENCE_LIMIT_SECONDS = 0.7
 
 
 class _Stream:
     """State of one call on the connection."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, repeatable: bool) -> None:
         loop = asyncio.get_running_loop()
+        self.repeatable = repeatable
         self.reply: asyncio.Future[Reply] = loop.create_future()
         self.window = CreditWindow()
         self.incoming: IncomingBody | None = None
@@ -84,12 +90,51 @@
         self._streams: dict[int, _Stream] = {}
         self._next_stream_id = 1
         self._connection: PeerConnection | None = None
+        self._pinged_at_seconds: float | None = None
+        self.is_silent = False
         self.late_replies = 0
 
     @property
     def is_open(self) -> bool:
         """Whether calls can be started."""
-        return self._connection is not None and self._connection.is_open
+        connection = self._connection
+        return connection is not None and connection.is_open and not self.is_silent
+
+    def check_silence(self, now_seconds: float) -> bool:
+        """Ask a peer that owes a reply for a sign of life.
+
+        A peer that gives none may be cut off or stand still. Repeatable calls then end
+        as failed, so that they can run elsewhere. The others wait on: their answers
+        may still come.
+
+        :param now_seconds: time of the event loop
+        :return: whether the peer has just been found to be silent
+        """
+        connection = self._connection
+        if connection is None or not connection.is_open or not self._streams:
+            self._pinged_at_seconds = None
+            return False
+        heard = connection.received_at_seconds
+        pinged = self._pinged_at_seconds
+        if pinged is not None and heard >= pinged:
+            self._pinged_at_seconds = pinged = None
+            self.is_silent = False
+        if pinged is None:
+            if now_seconds - heard > PING_AFTER_SECONDS:
+                self._pinged_at_seconds = now_seconds
+                connection.send(Ping(sequence=0))
+            return False
+        if self.is_silent or now_seconds - pinged < SILENCE_LIMIT_SECONDS:
+            return False
+        self.is_silent = True
+        self._fail_repeatable(connection)
+        return True
+
+    def _fail_repeatable(self, connection: PeerConnection) -> None:
+        for stream_id, stream in list(self._streams.items()):
+            if stream.repeatable and stream.incoming is None:
+                self._send_cancel(connection, stream_id)
+                stream.finish(Failed(Reason.CONNECTION_LOST, "the peer is silent"))
 
     @property
     def in_flight(self) -> int:
@@ -120,7 +165,7 @@
             return Refused(Reason.NO_SERVER, "no connection", call.retry_tokens)
         stream_id = self._next_stream_id
         self._next_stream_id += 1
-        stream = self._streams[stream_id] = _Stream()
+        stream = self._streams[stream_id] = _Stream(repeatable=call.row.repeatable)
         budget_ms = call.deadline_ms - self._clock.now_ms()
         version = self._table_version()
         try:
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link_pool.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link_pool.py
@@ -27,6 +27,9 @@
     from ..log import EventLog
 
 RECONNECT_DELAY_MS = 200.0
+# A call waits no longer for a connection; another member may take it at once.
+CONNECT_WAIT_MS = 250.0
+CHECK_SECONDS = 0.1
 Address = tuple[str, int]
 LinkKey = tuple[Address, ConnectionClass]
 
@@ -77,15 +80,31 @@
         """
         key = (address, _connection_class(call))
         link = self._links.get(key)
+        if link is not None and link.is_silent:
+            return Refused(Reason.NO_SERVER, "the peer is silent", call.retry_tokens)
         if link is None or not link.is_open:
             try:
                 link = await self._open(key, call)
             except MarjoramstepError as error:
                 return Refused(Reason.NO_SERVER, error.message, call.retry_tokens)
             except TimeoutError:
-                return Refused(Reason.DEADLINE, "connecting", call.retry_tokens)
+                return Refused(Reason.NO_SERVER, "connecting", call.retry_tokens)
         return await link.execute(call)
 
+    async def run(self) -> None:
+        """Look for silent peers until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(CHECK_SECONDS)
+            for key, link in list(self._links.items()):
+                if link.check_silence(loop.time()):
+                    self._log.write(
+                        "peer is silent",
+                        step="check links",
+                        peer=f"{key[0][0]}:{key[0][1]}",
+                        calls=link.in_flight,
+                    )
+
     def prepare(self, address: Address) -> None:
         """Open the links to a node before the first call needs them.
 
@@ -118,7 +137,8 @@
 
     async def _open(self, key: LinkKey, call: Call) -> NodeLink:
         budget_ms = call.deadline_ms - self._clock.now_ms()
-        async with asyncio.timeout(max(budget_ms, 0.0) / 1_000.0):
+        wait_ms = max(min(budget_ms, CONNECT_WAIT_MS), 0.0)
+        async with asyncio.timeout(wait_ms / 1_000.0):
             return await asyncio.shield(self._opening_task(key))
 
     def _opening_task(self, key: LinkKey) -> asyncio.Task[NodeLink]:
--- a/packages/policy/src/marjoramstep_policy/routing/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/routing/__init__.py
@@ -9,6 +9,7 @@
 from .router import Router
 from .router import UniformRouter
 from .targets import TargetChooser
+from .zone_first import ZoneFirstRouter
 
 
 __all__ = [
@@ -19,4 +20,5 @@
     "Router",
     "TargetChooser",
     "UniformRouter",
+    "ZoneFirstRouter",
 ]
--- a/packages/policy/src/marjoramstep_policy/routing/server_state.py
+++ b/packages/policy/src/marjoramstep_policy/routing/server_state.py
@@ -34,6 +34,8 @@
 QUEUED_WEIGHT = 4.0
 # A refusal halves the share, which then recovers within this time.
 REFUSAL_RECOVERY_MS = 1000.0
+# Load at which nearly all slots are taken.
+PRESSED_LOAD = 0.92
 MIN_REFUSAL_SHARE = 1.0 / 16.0
 NEW_RAMP_MS = 10_000.0
 RECOVERY_RAMP_MS = 5000.0
@@ -194,6 +196,19 @@
         self.refusal_share = max(MIN_REFUSAL_SHARE, share)
         self.refusal_at_ms = now_ms
 
+    def is_pressed(self, now_ms: float) -> bool:
+        """Tell whether a further call would probably wait.
+
+        :param now_ms: current time in milliseconds
+        :return: whether its slots are taken, as far as fresh load tells, or it refuses
+        """
+        if self._refusal_share(now_ms) < 1.0:
+            return True
+        age_ms = now_ms - self.load_at_ms
+        if age_ms > 2 * LOAD_HALF_LIFE_MS:
+            return self.in_flight >= self.member.slots
+        return self.load_pressure >= PRESSED_LOAD
+
     def is_overloaded(self, now_ms: float) -> bool:
         """Tell whether fresh load or fresh refusals show an overload.
 
