--- a/features/core/table.feature
+++ b/features/core/table.feature
@@ -48,3 +48,31 @@
     Given a new table
     And the table row "read" with cells weight=7, repeatable=yes, size_class=long
     Then the table read back from its JSON is equal
+
+  Scenario Outline: A request that names a host is matched by the longest prefix
+    Given a new table
+    And the table row "all" with cells host=toll.example, path_prefix=/, targets=tariffs:1
+    And the table row "deep" with cells host=toll.example, path_prefix=/a/b/, targets=audits:1
+    And the table row "other" with cells host=else.example, path_prefix=/a/, targets=audits:1
+    Then a request of "<path>" to host "<host>" matches row "<row>"
+
+    Examples:
+      | host         | path       | row   |
+      | toll.example | /a/b/c?x=/ | deep  |
+      | TOLL.example | /a/b       | all   |
+      | toll.example | /a/x/b/    | all   |
+      | else.example | /a/        | other |
+      | else.example | /b/        | none  |
+      | none.example | /a/        | none  |
+
+  Scenario Outline: Faulty targets are refused
+    Given a new table
+    When the table edit adds row "read" with cells host=toll.example, targets=<targets>
+    Then the table edit is refused naming the cells targets
+
+    Examples:
+      | targets       |
+      | tariffs       |
+      | tariffs:0     |
+      | tariffs:-1    |
+      | tariffs:1;x:1 |
--- /dev/null
+++ b/features/platform/heartbeats.feature
@@ -0,0 +1,45 @@
+Feature: Heartbeats of the platform's servers
+  Guards against a late or foreign heartbeat that changes what is known of the server
+  beside the node.
+
+  Background:
+    Given a node without a server behind the heartbeat interface
+
+  Scenario: A server announces itself, drains and leaves
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    Then the node knows a "ready" server "i-1"
+    When server "i-1" born at 100 sends heartbeat 2 as "draining"
+    Then the node knows a "draining" server "i-1"
+    When server "i-1" says that it leaves
+    Then the node knows a "gone" server "i-1"
+
+  Scenario: A late heartbeat does not bring a draining server back
+    When server "i-1" born at 100 sends heartbeat 2 as "draining"
+    And server "i-1" born at 100 sends heartbeat 1 as "ready"
+    Then the node knows a "draining" server "i-1"
+
+  Scenario: A heartbeat of an earlier incarnation is ignored
+    When server "i-2" born at 200 sends heartbeat 1 as "ready"
+    And server "i-1" born at 100 sends heartbeat 9 as "draining"
+    And server "i-1" says that it leaves
+    Then the node knows a "ready" server "i-2"
+
+  Scenario: A restart under the same id counts anew
+    When server "i-1" born at 100 sends heartbeat 9 as "draining"
+    And server "i-1" born at 300 sends heartbeat 1 as "ready"
+    Then the node knows a "ready" server "i-1"
+
+  Scenario Outline: A heartbeat of another writer is refused and changes nothing
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And a heartbeat with <fault> arrives
+    Then the heartbeat is answered with 400
+    And the node knows a "ready" server "i-1"
+
+    Examples:
+      | fault               |
+      | no JSON             |
+      | an unknown state    |
+      | a text as sequence  |
+      | no service          |
+      | a list as info      |
+      | a faulty address    |
--- a/features/state/edits.feature
+++ b/features/state/edits.feature
@@ -69,3 +69,36 @@
     When 150 edits are accepted one after the other
     Then the table versions 52 to 151 are kept and 51 is not
     And the kept table versions are the same after a restart
+
+  Scenario: Of two replacements on one revision only the first is accepted
+    When the table is replaced by revision 5 on 0 with weight 20
+    Then the replacement is accepted
+    When the table is replaced by revision 7 on 5 with weight 30
+    And the table is replaced by revision 7 on 5 with weight 40
+    Then the replacement is a conflict
+    And the replicated weight of row "default" is 30
+    And the replicated source is "revision 7 weight 30"
+
+  Scenario: A replacement that was accepted is accepted again after a later one and a restart
+    When the table is replaced by revision 5 on 0 with weight 20
+    And the table is replaced by revision 7 on 5 with weight 30
+    And the replica is restored from its snapshot
+    And the table is replaced by revision 5 on 0 with weight 20
+    Then the replacement is accepted
+    And the replicated weight of row "default" is 30
+    And the replicated source is "revision 7 weight 30"
+
+  Scenario: A refused replacement is accepted once its base is there
+    When the table is replaced by revision 7 on 5 with weight 30
+    Then the replacement is a conflict
+    When the table is replaced by revision 5 on 0 with weight 20
+    And the table is replaced by revision 7 on 5 with weight 30
+    Then the replacement is accepted
+
+  Scenario: A replacement with a lower revision or a faulty cell changes nothing
+    When the table is replaced by revision 5 on 0 with weight 20
+    And the table is replaced by revision 4 on 5 with weight 30
+    Then the replacement is refused
+    When the table is replaced by revision 6 on 5 with weight 3000
+    Then the replacement is refused
+    And the replicated weight of row "default" is 20
--- a/features/steps/core_table_steps.py
+++ b/features/steps/core_table_steps.py
@@ -108,3 +108,9 @@
         assert error.step == "apply table delta"
     else:
         raise AssertionError("a delta was applied to another version")
+
+
+@then('a request of "{path}" to host "{host}" matches row "{row}"')
+def step_matches_host(context: Any, path: str, host: str, row: str) -> None:
+    matched = RowMatcher(context.step_table).match_host(host, path)
+    assert ("none" if matched is None else matched.name) == row, matched
--- /dev/null
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -0,0 +1,166 @@
+"""Steps for HTTP connections of callers."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from daemon_harness import CLOCK
+from daemon_harness import make_tables
+from daemon_harness import run
+from daemon_harness import until
+from marjoramstep_core.states import Outcome
+from marjoramstep_daemon.callers.entry import EntryResult
+from marjoramstep_daemon.callers.listener import CallerListener
+from marjoramstep_daemon.calls import Answer
+from marjoramstep_daemon.calls import Body
+from marjoramstep_daemon.log import EventLog
+
+
+LONG_BODY_BYTES = 200_000
+
+
+class HeldEntry:
+    """Runs each request until the test lets it end."""
+
+    def __init__(self) -> None:
+        self.ends: dict[str, asyncio.Event] = {}
+        self.cancelled: list[str] = []
+
+    async def execute(self, request: Any) -> EntryResult:
+        """Wait for the end of a request and answer with its path."""
+        end = self.ends.setdefault(request.path, asyncio.Event())
+        try:
+            await end.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.path)
+            raise
+        data = request.path.encode()
+        answer = Answer(200, [], Body(data, length=len(data)))
+        return EntryResult(answer, Outcome.DONE, "k", "r")
+
+
+def _get(path: str) -> bytes:
+    return f"GET {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode()
+
+
+async def _read_answer(reader: Any) -> tuple[bytes, bytes]:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return head, await reader.readexactly(length)
+
+
+def _with_caller(context: Any, scenario: Any) -> None:
+    """Run a scenario that is given the listener, a reader and a writer."""
+
+    async def whole() -> None:
+        context.entry = HeldEntry()
+        log = EventLog(CLOCK, "test")
+        listener = CallerListener(context.entry, make_tables(), log)
+        address = await listener.start(("127.0.0.1", 0))
+        reader, writer = await asyncio.open_connection(*address)
+        await scenario(listener, reader, writer)
+        writer.close()
+        await listener.stop_listening()
+        await listener.close()
+
+    run(whole())
+
+
+@given("a caller listener whose requests end when the test says so")
+def step_listener(context: Any) -> None:
+    context.entry = None
+
+
+@when('a caller sends requests "/1" and "/2" at once and "/2" ends first')
+def step_pipeline(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        entry = context.entry
+        writer.write(_get("/1") + _get("/2"))
+        await until(lambda: len(entry.ends) == 2)
+        context.running = sorted(entry.ends)
+        entry.ends["/2"].set()
+        await asyncio.sleep(0.02)
+        entry.ends["/1"].set()
+        context.bodies = [(await _read_answer(reader))[1] for _ in range(2)]
+
+    _with_caller(context, scenario)
+
+
+@then("both requests were running before the first answer")
+def step_running(context: Any) -> None:
+    assert context.running == ["/1", "/2"], context.running
+
+
+@then('the caller gets the answers of "/1" and "/2" in this order')
+def step_order(context: Any) -> None:
+    assert context.bodies == [b"/1", b"/2"], context.bodies
+
+
+@when('a caller sends requests "/1" and "/2" at once and closes the connection')
+def step_close(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        writer.write(_get("/1") + _get("/2"))
+        await until(lambda: len(context.entry.ends) == 2)
+        writer.close()
+        await until(lambda: len(context.entry.cancelled) == 2)
+
+    _with_caller(context, scenario)
+
+
+@then("both requests are cancelled")
+def step_cancelled(context: Any) -> None:
+    assert sorted(context.entry.cancelled) == ["/1", "/2"]
+
+
+@when("a caller sends a request with two lengths and another request in its body")
+def step_smuggle(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        hidden = _get("/hidden")
+        head = (
+            "POST /1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n"
+            f"Content-Length: {len(hidden)}\r\n\r\n"
+        )
+        writer.write(head.encode() + hidden)
+        context.head, _ = await _read_answer(reader)
+
+    _with_caller(context, scenario)
+
+
+@then("the caller gets status {status:d} and nothing was run")
+def step_nothing(context: Any, status: int) -> None:
+    assert f" {status} ".encode() in context.head.splitlines()[0], context.head
+    assert not context.entry.ends, context.entry.ends
+
+
+@when("a request with a long body is answered before the body is complete")
+def step_early(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        head = f"POST /1 HTTP/1.1\r\nHost: s\r\nContent-Length: {LONG_BODY_BYTES}\r\n"
+        writer.write(head.encode() + b"\r\n" + bytes(LONG_BODY_BYTES // 2))
+        await until(lambda: "/1" in context.entry.ends)
+        context.entry.ends["/1"].set()
+        context.head, _ = await _read_answer(reader)
+
+    _with_caller(context, scenario)
+
+
+@when('the listener announces that it leaves while "/1" runs')
+def step_leaves(context: Any) -> None:
+    async def scenario(listener: Any, reader: Any, writer: Any) -> None:
+        writer.write(_get("/1"))
+        await until(lambda: "/1" in context.entry.ends)
+        listener.announce_close()
+        context.entry.ends["/1"].set()
+        context.head, _ = await _read_answer(reader)
+
+    _with_caller(context, scenario)
+
+
+@then("the answer says that the connection closes")
+@then('the answer of "/1" says that the connection closes')
+def step_closes(context: Any) -> None:
+    assert b"connection: close" in context.head.lower(), context.head
--- /dev/null
+++ b/features/steps/daemon_server_connection_steps.py
@@ -0,0 +1,151 @@
+"""Steps for HTTP connections to the backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from typing import TYPE_CHECKING
+from typing import Any
+
+from behave import then
+from behave import when
+from daemon_harness import make_call
+from daemon_harness import run
+from marjoramstep_core.errors import MarjoramstepError
+from marjoramstep_daemon.backend_servers.client import BackendServerClient
+from marjoramstep_daemon.backend_servers.client import BackendServerError
+from marjoramstep_daemon.backend_servers.protocol import NativeBackendProtocol
+from marjoramstep_daemon.calls import Body
+from multidict import CIMultiDict
+
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+LONG_BODY = bytes(5_000_000)
+
+
+class EchoProtocol(NativeBackendProtocol):
+    """Matches answers by a header with the path of their request."""
+
+    def belongs(self, call: Any, status: int, headers: Any) -> bool:
+        """Compare the header with the path of the call."""
+        return headers.get("Answer-Of") == call.path
+
+
+def _answer(of: str, extra: str = "", length: bool = True) -> bytes:
+    size = f"Content-Length: {len(of)}\r\n" if length else ""
+    return f"HTTP/1.1 200 OK\r\nAnswer-Of: {of}\r\n{size}{extra}\r\n{of}".encode()
+
+
+def _path_of(head: bytes) -> str:
+    return head.split()[1].decode()
+
+
+def _scenario(
+    context: Any, react: Callable[[Any, str], None], bodies: list[Body], pause: float
+) -> None:
+    """Send requests "new" one after the other to a scripted server."""
+    context.connections = 0
+
+    async def handle(reader: Any, writer: Any) -> None:
+        context.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                react(writer, _path_of(head))
+        except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, OSError):
+            writer.close()
+
+    async def send(client: BackendServerClient, body: Body) -> Any:
+        call = make_call(method="POST", path="/new", body=body)
+        try:
+            reply: Any = await client.send(call, CIMultiDict({"Host": "s"}))
+            return b"".join([part async for part in reply.body.parts()])
+        except MarjoramstepError as error:
+            return error
+
+    async def whole() -> None:
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        client = BackendServerClient(address, 10, EchoProtocol())
+        context.results = []
+        for body in bodies:
+            context.results.append(await send(client, body))
+            await asyncio.sleep(pause)
+        await client.close()
+        server.close()
+
+    run(whole())
+
+
+@when('a backend server sends the answer of request "old" before that of "new"')
+def step_late(context: Any) -> None:
+    def react(writer: Any, path: str) -> None:
+        writer.write(_answer("/old") + _answer(path))
+
+    _scenario(context, react, [Body()], 0.0)
+
+
+@when('a backend server sends the answer of "new" twice and is asked again')
+def step_twice(context: Any) -> None:
+    def react(writer: Any, path: str) -> None:
+        writer.write(_answer(path) + _answer(path))
+
+    _scenario(context, react, [Body(), Body()], 0.05)
+
+
+@when("a backend server sends an answer without a length and {end} the connection")
+def step_unframed(context: Any, end: str) -> None:
+    def react(writer: Any, path: str) -> None:
+        writer.write(_answer(path, length=False))
+        if end == "closes":
+            writer.close()
+            return
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        asyncio.get_running_loop().call_later(0.05, writer.transport.abort)
+
+    _scenario(context, react, [Body()], 0.0)
+
+
+@when("a backend server announces an idle time of 1 s and is asked again")
+def step_idle(context: Any) -> None:
+    def react(writer: Any, path: str) -> None:
+        writer.write(_answer(path, "Keep-Alive: timeout=1\r\n"))
+
+    _scenario(context, react, [Body(), Body()], 0.05)
+
+
+@when("a backend server answers before it has read a long body and is asked again")
+def step_early(context: Any) -> None:
+    def react(writer: Any, path: str) -> None:
+        writer.write(_answer(path))
+
+    long = Body(LONG_BODY[:60_000], rest=_slow_parts(), length=len(LONG_BODY))
+    _scenario(context, react, [long, Body()], 0.05)
+
+
+async def _slow_parts() -> Any:
+    for offset in range(60_000, len(LONG_BODY), 60_000):
+        yield LONG_BODY[offset : offset + 60_000]
+        await asyncio.sleep(0.01)
+
+
+@then('the client returns the body of "new"')
+def step_body(context: Any) -> None:
+    assert context.results == [b"/new"], context.results
+
+
+@then("the client reports a broken answer")
+def step_broken(context: Any) -> None:
+    (result,) = context.results
+    assert isinstance(result, BackendServerError), result
+
+
+@then("both requests are answered on two connections")
+def step_two(context: Any) -> None:
+    assert context.results == [b"/new", b"/new"], context.results
+    assert context.connections == 2, context.connections
--- /dev/null
+++ b/features/steps/platform_configuration_steps.py
@@ -0,0 +1,204 @@
+"""Steps for configurations of the platform."""
+
+from __future__ import annotations
+
+import copy
+import json
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.table import Row
+from marjoramstep_platform.configuration import Configuration
+
+
+SEED = 11
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 67108864,
+    "header_timeout": "3000ms",
+    "idle_timeout": "15000ms",
+}
+
+
+def _route(name: str, prefix: str, kind: str, priority: int, **fields: Any) -> Any:
+    spec = {
+        "host": "hulo84.example",
+        "path_prefix": prefix,
+        "route_type": kind,
+        "timeout": "1000ms",
+        "target_latency": "1500ms",
+        "priority": priority,
+        "max_attempts": 2,
+        **fields,
+    }
+    return {"resource_type": "routes", "metadata": {"name": name}, "spec": spec}
+
+
+def _service(name: str) -> Any:
+    spec = {"health_path": "/health", "max_connections": 952, "protocol": "h1"}
+    return {"resource_type": "services", "metadata": {"name": name}, "spec": spec}
+
+
+def _document() -> Any:
+    weighted = [
+        {"service": "huvo11a", "weight": 90},
+        {"service": "lovo22d", "weight": 10},
+    ]
+    return {
+        "version": "00000007",
+        "base_version": "00000005",
+        "resources": [
+            _route("r-safe", "/leny950/", "safe", 2, weighted_services=weighted),
+            _route("r-unsafe", "/puka111/", "unsafe", 0, service="huvo11a"),
+            _service("huvo11a"),
+            _service("lovo22d"),
+            {"resource_type": "limits", "metadata": {}, "spec": LIMITS},
+        ],
+    }
+
+
+def _make_invalid(document: Any, fault: str) -> None:
+    safe, unsafe = (entry["spec"] for entry in document["resources"][:2])
+    if fault == "unknown service":
+        unsafe["service"] = "nobody"
+    elif fault == "unknown weighted service":
+        safe["weighted_services"][1]["service"] = "nobody"
+    elif fault == "same host and prefix":
+        unsafe["path_prefix"] = safe["path_prefix"]
+    elif fault == "same name":
+        document["resources"][1]["metadata"]["name"] = "r-safe"
+    elif fault == "weights of 0":
+        for part in safe["weighted_services"]:
+            part["weight"] = 0
+    elif fault == "objective a minute above":
+        safe["target_latency"] = "61000ms"
+    elif fault == "prefix without a slash":
+        safe["path_prefix"] = "leny950/"
+    elif fault == "timeout without a unit":
+        safe["timeout"] = 1000
+    elif fault == "version as a number":
+        document["version"] = 7
+    elif fault == "unknown kind":
+        safe["route_type"] = "risky"
+    elif fault == "resources as an object":
+        document["resources"] = {}
+    else:
+        raise ValueError(fault)
+
+
+@given("a configuration with a safe and an unsafe route")
+def step_configuration(context: Any) -> None:
+    context.document = _document()
+
+
+@when("it is decoded")
+def step_decode(context: Any) -> None:
+    context.decoded = Configuration.decode(json.dumps(context.document).encode())
+    rows = [Row.from_cells(dict(cells)) for cells in context.decoded.rows]
+    context.rows = {row.name: row for row in rows}
+
+
+@when('it is made invalid by "{fault}"')
+def step_invalid(context: Any, fault: str) -> None:
+    if fault == "cut short":
+        context.data = json.dumps(context.document).encode()[:-20]
+        return
+    _make_invalid(context.document, fault)
+    context.data = json.dumps(context.document).encode()
+
+
+@then("decoding it fails")
+def step_fails(context: Any) -> None:
+    try:
+        Configuration.decode(context.data)
+    except InvalidInputError:
+        return
+    raise AssertionError("an invalid configuration was decoded")
+
+
+@then("its version is {version:d} and its base {base:d}")
+def step_version(context: Any, version: int, base: int) -> None:
+    decoded = context.decoded
+    assert (decoded.version, decoded.base_version) == (version, base), decoded
+
+
+@then('row "{name}" has host "{host}", prefix "{prefix}" and targets "{targets}"')
+def step_place(context: Any, name: str, host: str, prefix: str, targets: str) -> None:
+    row = context.rows[name]
+    assert (row.host, row.path_prefix, row.targets) == (host, prefix, targets), row
+
+
+@then(
+    'row "{name}" is repeatable with {retries:d} retry, deadline {deadline_ms:d} ms '
+    "and objective {objective_ms:d} ms"
+)
+def step_repeatable(
+    context: Any, name: str, retries: int, deadline_ms: int, objective_ms: int
+) -> None:
+    row = context.rows[name]
+    assert row.repeatable, row
+    found = (row.retries, row.deadline_ms, row.objective_ms)
+    assert found == (retries, deadline_ms, objective_ms), row
+
+
+@then(
+    'row "{name}" is not repeatable, needs no claim and weighs more than row "{other}"'
+)
+def step_weight(context: Any, name: str, other: str) -> None:
+    row = context.rows[name]
+    assert not row.repeatable, row
+    assert not row.needs_claim, row
+    assert row.weight > context.rows[other].weight, row
+
+
+@then(
+    "the default row has a body limit of {limit:d} bytes and an idle timeout of "
+    "{timeout_ms:d} ms"
+)
+def step_limits(context: Any, limit: int, timeout_ms: int) -> None:
+    row = context.rows["default"]
+    assert (row.body_limit_bytes, row.idle_timeout_ms) == (limit, timeout_ms), row
+
+
+@then("its digest does not depend on the order of its fields")
+def step_digest(context: Any) -> None:
+    first = Configuration.decode(json.dumps(context.document).encode())
+    turned = dict(reversed(list(context.document.items())))
+    second = Configuration.decode(json.dumps(turned).encode())
+    assert first.digest == second.digest
+
+
+def _damage(document: Any, rng: random.Random) -> Any:
+    """Replace one value somewhere in a document."""
+    junk = rng.choice([None, -1, 3.5, "", "x" * 70, [], {}, True, 10**20])
+    node, parents = document, []
+    while isinstance(node, (dict, list)) and node and rng.random() < 0.85:
+        keys = list(node) if isinstance(node, dict) else range(len(node))
+        key = rng.choice(list(keys))
+        parents.append((node, key))
+        node = node[key]
+    if not parents:
+        return junk
+    parent, key = parents[-1]
+    parent[key] = junk
+    return document
+
+
+@then(
+    "{count:d} damaged configurations give a configuration or the error of invalid "
+    "input"
+)
+def step_damaged(context: Any, count: int) -> None:
+    rng = random.Random(SEED)
+    refused = 0
+    for _ in range(count):
+        data = json.dumps(_damage(copy.deepcopy(_document()), rng)).encode()
+        try:
+            Configuration.decode(data)
+        except InvalidInputError:
+            refused += 1
+    assert 0 < refused < count, refused
--- /dev/null
+++ b/features/steps/platform_heartbeats_steps.py
@@ -0,0 +1,96 @@
+"""Steps for heartbeats of the platform's servers."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import aiohttp
+from behave import given
+from behave import then
+from behave import when
+from daemon_harness import CLOCK
+from daemon_harness import run
+from marjoramstep_core.ids import NodeId
+from marjoramstep_daemon.backend_servers.own_server import OwnServer
+from marjoramstep_daemon.http.site import HttpSite
+from marjoramstep_daemon.log import EventLog
+from marjoramstep_platform.heartbeats import HeartbeatApi
+
+
+def _heartbeat(state: str = "ready", born: int = 100, sequence: Any = 1) -> Any:
+    return {
+        "address": "10.1.0.8:8301",
+        "born": born,
+        "info": {"service": "huvo11a", "version": "v1", "zone": "a", "slots": 4},
+        "status": {"state": state, "seq": sequence, "warmup_left": "0ms"},
+    }
+
+
+def _faulty(fault: str) -> bytes:
+    document = _heartbeat(sequence=5)
+    if fault == "no JSON":
+        return b"\xff{"
+    if fault == "an unknown state":
+        document["status"]["state"] = "asleep"
+    elif fault == "a text as sequence":
+        document["status"]["seq"] = "five"
+    elif fault == "no service":
+        del document["info"]["service"]
+    elif fault == "a list as info":
+        document["info"] = []
+    elif fault == "a faulty address":
+        document["address"] = "nowhere"
+    return json.dumps(document).encode()
+
+
+async def _call(context: Any, method: str, instance: str, data: bytes) -> int:
+    """Send one call through the HTTP interface."""
+    site = HttpSite(context.heartbeats.make_app())
+    host, port = await site.start(("127.0.0.1", 0))
+    url = f"http://{host}:{port}/-/instances/{instance}"
+    try:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(method, url, data=data) as response,
+        ):
+            return response.status
+    finally:
+        await site.close()
+
+
+@given("a node without a server behind the heartbeat interface")
+def step_node(context: Any) -> None:
+    context.own_server = OwnServer(CLOCK, NodeId("n"))
+    context.heartbeats = HeartbeatApi(context.own_server, EventLog(CLOCK, "test"))
+
+
+@when('server "{name}" born at {born:d} sends heartbeat {sequence:d} as "{state}"')
+def step_heartbeat(
+    context: Any, name: str, born: int, sequence: int, state: str
+) -> None:
+    data = json.dumps(_heartbeat(state, born, sequence)).encode()
+    status = run(_call(context, "PUT", name, data))
+    assert status == 200, status
+
+
+@when('server "{name}" says that it leaves')
+def step_leaves(context: Any, name: str) -> None:
+    assert run(_call(context, "DELETE", name, b"")) == 200
+
+
+@when("a heartbeat with {fault} arrives")
+def step_faulty(context: Any, fault: str) -> None:
+    context.status = run(_call(context, "PUT", "i-1", _faulty(fault)))
+
+
+@then("the heartbeat is answered with {status:d}")
+def step_status(context: Any, status: int) -> None:
+    assert context.status == status, context.status
+
+
+@then('the node knows a "{state}" server "{name}"')
+def step_known(context: Any, state: str, name: str) -> None:
+    own_server = context.own_server
+    assert own_server.state.value == state, own_server.state
+    assert own_server.announcement.instance == name, own_server.announcement
--- /dev/null
+++ b/features/steps/platform_requests_steps.py
@@ -0,0 +1,109 @@
+"""Steps for requests and answers in the platform's form."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from behave import then
+from behave import when
+from daemon_harness import make_call
+from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.states import Outcome
+from marjoramstep_core.states import Reason
+from marjoramstep_daemon.callers.entry import EntryResult
+from marjoramstep_daemon.calls import Body
+from marjoramstep_daemon.calls import Failed
+from marjoramstep_daemon.calls import Refused
+from marjoramstep_daemon.http.message import HttpRequest
+from marjoramstep_platform.backend_servers import PlatformBackendProtocol
+from marjoramstep_platform.callers import PlatformCallerProtocol
+from multidict import CIMultiDict
+
+
+CALLERS = PlatformCallerProtocol(lambda: "tariffs")
+
+
+def _parse(target: str = "/x", **changes: str | None) -> Any:
+    headers = CIMultiDict(
+        {"Host": "toll.example:80", "Attempt-Id": "a1", "Timeout-Ms": "500"}
+    )
+    for name, value in changes.items():
+        key = name.replace("_", "-")
+        if value is None:
+            del headers[key]
+        else:
+            headers[key] = value
+    request = HttpRequest("GET", target, headers, list(headers.items()), Body())
+    return CALLERS.parse(request)
+
+
+def _result(outcome: str, reply: Any) -> EntryResult:
+    return EntryResult(reply, Outcome(outcome), "a1", "row")
+
+
+@when("a client sends a request with its own caller service and expected instance")
+def step_own_headers(context: Any) -> None:
+    context.parsed = _parse(Caller_Service="evil", Expected_Instance="i-9")
+
+
+@then('the request names the service "{service}" as its caller and no instance')
+def step_caller(context: Any, service: str) -> None:
+    headers = CIMultiDict(context.parsed.headers)
+    assert headers.getall("Caller-Service") == [service], headers
+    assert "Expected-Instance" not in headers, headers
+
+
+@then("its host and attempt id are passed on")
+def step_passed_on(context: Any) -> None:
+    headers = CIMultiDict(context.parsed.headers)
+    assert headers["Host"] == "toll.example:80", headers
+    assert headers["Attempt-Id"] == "a1", headers
+    assert context.parsed.host == "toll.example", context.parsed
+
+
+@when("a client sends a request with {fault}")
+def step_faulty(context: Any, fault: str) -> None:
+    changes: dict[str, Any] = {
+        "no attempt id": {"Attempt_Id": None},
+        "a timeout of text": {"Timeout_Ms": "soon"},
+        "a foreign target": {"target": "http://other/"},
+    }[fault]
+    try:
+        context.parsed = _parse(**changes)
+    except InvalidInputError as error:
+        context.parsed = error
+
+
+@then("the request is refused as invalid")
+def step_invalid(context: Any) -> None:
+    assert isinstance(context.parsed, InvalidInputError), context.parsed
+
+
+@then("a request that ended as {outcome} because of {reason} gets status {status:d}")
+def step_status(context: Any, outcome: str, reason: str, status: int) -> None:
+    kind = Refused if outcome == "not-run" else Failed
+    answer = CALLERS.render(_result(outcome, kind(Reason(reason))), 0.0)
+    assert answer.status == status, answer
+
+
+@then('a request refused for {wait_ms:d} ms has the header "{name}" with "{value}"')
+def step_retry_after(context: Any, wait_ms: int, name: str, value: str) -> None:
+    reply = Refused(Reason.OVERLOAD, retry_after_ms=wait_ms)
+    answer = CALLERS.render(_result("not-run", reply), 0.0)
+    assert answer.headers[name] == value, answer.headers
+
+
+@then('an answer with status {status:d} and headers "{text}" counts as {meaning}')
+def step_meaning(context: Any, status: int, text: str, meaning: str) -> None:
+    pairs = (part.split(":", 1) for part in text.split(";"))
+    headers = CIMultiDict((name.strip(), value.strip()) for name, value in pairs)
+    protocol = PlatformBackendProtocol()
+    call = make_call(method="GET", request_key="a", body=Body())
+    if not protocol.belongs(call, status, headers):
+        found = "of another request"
+    else:
+        verdict = protocol.verdict(call, status, headers)
+        found = {type(None): "an answer", Refused: "refused", Failed: "failed"}[
+            type(verdict)
+        ]
+    assert found == meaning, found
