--- /dev/null
+++ b/features/steps/consensus_voter_policy_steps.py
@@ -0,0 +1,63 @@
+"""Steps for the choice of voters."""
+
+from __future__ import annotations
+
+import re
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_consensus.membership import Membership
+from marjoramstep_consensus.voter_policy import Admit
+from marjoramstep_consensus.voter_policy import Remove
+from marjoramstep_consensus.voter_policy import next_change
+from marjoramstep_core.ids import ReplicaId
+
+
+def _change(context: Any) -> Any:
+    membership = Membership(context.voters, context.learners)
+    return next_change(membership, context.waiting, context.silent_ms)
+
+
+@given("voters {names}")
+def step_voters(context: Any, names: str) -> None:
+    voters = re.findall(r"\b[a-z]\b", names.replace(" and ", ", "))
+    context.voters = {ReplicaId(name): f"{name}:1" for name in voters}
+    context.learners, context.waiting, context.silent_ms = {}, {}, {}
+
+
+@given('learner "{name}" silent for {silent_ms:d} ms')
+def step_learner(context: Any, name: str, silent_ms: int) -> None:
+    context.learners[name] = f"{name}:1"
+    context.silent_ms[name] = float(silent_ms)
+
+
+@given('voter "{name}" silent for {silent_ms:d} ms')
+def step_silent(context: Any, name: str, silent_ms: int) -> None:
+    context.silent_ms[name] = float(silent_ms)
+
+
+@given('another voter "{name}" at "{address}"')
+def step_another(context: Any, name: str, address: str) -> None:
+    context.voters[name] = address
+
+
+@when('replica "{name}" at "{address}" asks to join')
+def step_join(context: Any, name: str, address: str) -> None:
+    context.waiting[name] = address
+
+
+@then('the next change admits "{name}"')
+def step_admits(context: Any, name: str) -> None:
+    assert _change(context) == Admit(ReplicaId(name), context.waiting[name])
+
+
+@then('the next change removes "{name}"')
+def step_removes(context: Any, name: str) -> None:
+    assert _change(context) == Remove(ReplicaId(name)), _change(context)
+
+
+@then("no change is made")
+def step_none(context: Any) -> None:
+    assert _change(context) is None, _change(context)
