--- a/packages/core/src/marjoramstep_core/table/matcher.py
+++ b/packages/core/src/marjoramstep_core/table/matcher.py
@@ -33,6 +33,11 @@
         for rows in self._by_service.values():
             rows.sort(key=_specificity)
 
+    @property
+    def has_hosts(self) -> bool:
+        """Whether any row has a host."""
+        return bool(self._by_host)
+
     def match(self, service: ServiceName, method: str, path: str) -> Row:
         """Return the row of a request.
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -46,6 +46,8 @@
 # Sub-calls of one request that are remembered, to recognize resends.
 SUB_CALL_LIMIT = 10_000
 SERVER_ERROR_STATUS = 500
+# Twice the interval at which nodes ask for a confirmation.
+CONFIRMED_TABLE_MS = 10_000.0
 # Weight of a sub-call whose root is not known; the highest of the table's column.
 SUB_CALL_WEIGHT = 1000
 # One plain success in this many is logged.
@@ -186,6 +188,13 @@
         if row is not None and row.needs_claim:
             await self._claim_check.confirm(result, request.request_key)
 
+    def _reason_without_row(self) -> Reason:
+        # A node that has just started may have the table of a replica that lags, or of
+        # one whose disk was lost. Only a confirmed table shows that there is no row.
+        is_known = self._tables.has_hosts
+        is_confirmed = self._tables.age_ms() < CONFIRMED_TABLE_MS
+        return Reason.NO_ROUTE if is_known and is_confirmed else Reason.NO_TABLE
+
     def _find_row(self, request: EntryRequest) -> Row | None:
         if request.host:
             return self._tables.match_host(request.host, request.path)
@@ -199,7 +208,7 @@
             return _refused(Reason.NO_TABLE, key, "")
         row = self._find_row(request)
         if row is None:
-            return _refused(Reason.NO_ROUTE, key, "")
+            return _refused(self._reason_without_row(), key, "")
         if request.host:
             request.service = self._targets.choose(row) if row.shares else row.service
         parent = None
--- a/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/table_keeper.py
@@ -70,6 +70,11 @@
         """The table in force."""
         return self._table
 
+    @property
+    def has_hosts(self) -> bool:
+        """Whether a row with a host is in force."""
+        return self._matcher is not None and self._matcher.has_hosts
+
     def age_ms(self) -> float:
         """Time since a quorum last confirmed that this table is the newest.
 
