Keep connections after streamed answers and know the parent of a call

Answers of unknown length up to 64 KiB are also read whole now. The feature failed before the change with the second request broken off. A call of the backend server is tied to the running request whose id it extends, so it inherits weight, deadline and retries. The new column attempts bounds the backend servers that one call may reach; retries bound the chain.

--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -26,3 +26,7 @@
   Scenario: An answer before the end of a long body ends the connection
     When a backend server answers before it has read a long body and is asked again
     Then both requests are answered on two connections
+
+  Scenario: A streamed answer that was read to its end keeps the connection
+    When a backend server sends a long chunked answer and is asked again while it is given up
+    Then both requests are answered on one connection
--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -7,7 +7,7 @@
     When it is decoded
     Then its version is 7 and its base 5
     And row "r-safe" has host "hulo84.example", prefix "/leny950/" and targets "huvo11a:90,lovo22d:10"
-    And row "r-safe" is repeatable with 1 retry, deadline 1000 ms and objective 1500 ms
+    And row "r-safe" is repeatable with 2 attempts, deadline 1000 ms and objective 1500 ms
     And row "r-unsafe" is not repeatable, needs no claim and weighs more than row "r-safe"
     And the default row has a body limit of 67108864 bytes and an idle timeout of 15000 ms
 
--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -47,3 +47,13 @@
       | 200    | Attempt-Id: a; Server-Signature: x; Content-Encoding: gzip | failed |
       | 200    | Attempt-Id: b; Server-Signature: x       | of another request  |
       | 200    | Server-Signature: x                      | of another request  |
+
+  Scenario Outline: A call of the backend server is known by the id of the running request
+    When a request with the attempt id "<id>" arrives while "root1" runs here
+    Then it counts as a call of "<parent>"
+
+    Examples:
+      | id       | parent |
+      | root1.c7 | root1  |
+      | root2.c7 | nobody |
+      | root1    | nobody |
--- a/features/steps/daemon_server_connection_steps.py
+++ b/features/steps/daemon_server_connection_steps.py
@@ -149,3 +149,52 @@
 def step_two(context: Any) -> None:
     assert context.results == [b"/new", b"/new"], context.results
     assert context.connections == 2, context.connections
+
+
+@when(
+    "a backend server sends a long chunked answer and is asked again while it is given "
+    "up"
+)
+def step_chunked(context: Any) -> None:
+    content = bytes(100_000)
+
+    async def handle(reader: Any, writer: Any) -> None:
+        context.connections += 1
+        try:
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                head = (
+                    "HTTP/1.1 200 OK\r\nAnswer-Of: /new\r\n"
+                    f"Transfer-Encoding: chunked\r\n\r\n{len(content):x}\r\n"
+                )
+                writer.write(head.encode() + content + b"\r\n0\r\n\r\n")
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+    async def ask(client: BackendServerClient) -> Any:
+        call = make_call(method="GET", path="/new", body=Body())
+        reply: Any = await client.send(call, CIMultiDict({"Host": "s"}))
+        data = b"".join([part async for part in reply.body.parts()])
+        return reply, data
+
+    async def whole() -> None:
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        client = BackendServerClient(address, 10, EchoProtocol())
+        first, data = await ask(client)
+        again = asyncio.create_task(ask(client))
+        await asyncio.sleep(0)
+        # The session gives each answer up when it has sent it, also one that was whole.
+        first.body.abandon()
+        context.results = [data, (await again)[1]]
+        await client.close()
+        server.close()
+
+    context.connections = 0
+    run(whole())
+    assert context.results == [content, content]
+
+
+@then("both requests are answered on one connection")
+def step_one(context: Any) -> None:
+    assert context.connections == 1, context.connections
--- a/features/steps/platform_requests_steps.py
+++ b/features/steps/platform_requests_steps.py
@@ -20,7 +20,7 @@
 from multidict import CIMultiDict
 
 
-CALLERS = PlatformCallerProtocol(lambda: "tariffs", "10.1.0.8")
+CALLERS = PlatformCallerProtocol(lambda: "tariffs", {"root1": "context-1"}.get)
 
 
 def _parse(target: str = "/x", **changes: str | None) -> Any:
@@ -61,6 +61,17 @@
     assert context.parsed.host == "toll.example", context.parsed
 
 
+@when('a request with the attempt id "{attempt_id}" arrives while "root1" runs here')
+def step_attempt(context: Any, attempt_id: str) -> None:
+    context.parsed = _parse(Attempt_Id=attempt_id)
+
+
+@then('it counts as a call of "{parent}"')
+def step_parent(context: Any, parent: str) -> None:
+    expected = "context-1" if parent == "root1" else None
+    assert context.parsed.context_id == expected, context.parsed
+
+
 @when("a client sends a request with {fault}")
 def step_faulty(context: Any, fault: str) -> None:
     changes: dict[str, Any] = {
--- a/packages/core/src/marjoramstep_core/table/columns.py
+++ b/packages/core/src/marjoramstep_core/table/columns.py
@@ -213,6 +213,12 @@
     "Retries of one whole request over its call chain, resends included.",
     _integer(0, 10),
 )
+_add(
+    "attempts",
+    11,
+    "Backend servers that one call may reach; its retries bound the whole chain.",
+    _integer(1, 11),
+)
 _add(
     "queue_length",
     64,
--- a/packages/core/src/marjoramstep_core/table/row.py
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -90,6 +90,7 @@
     size_class: SizeClassRule
     expected_ms: int
     retries: int
+    attempts: int
     queue_length: int
     queue_wait_ms: int
     body_limit_bytes: int
--- a/packages/daemon/src/marjoramstep_daemon/adapter.py
+++ b/packages/daemon/src/marjoramstep_daemon/adapter.py
@@ -20,6 +20,7 @@
 
     from aiohttp import web
 
+    from .backend_servers.in_flight import InFlightMap
     from .backend_servers.own_server import OwnServer
     from .backend_servers.protocol import BackendProtocol
     from .callers.protocol import CallerProtocol
@@ -32,12 +33,13 @@
     """Everything that differs between the interfaces of two deployments."""
 
     def caller_protocol(
-        self, settings: Settings, own_server: OwnServer
+        self, settings: Settings, own_server: OwnServer, in_flight: InFlightMap
     ) -> CallerProtocol:
         """Return what callers speak.
 
         :param settings: settings of a node
         :param own_server: the backend server beside it
+        :param in_flight: requests that run there now
         :return: the translation
         """
 
@@ -83,7 +85,7 @@
     """The project's own interfaces."""
 
     def caller_protocol(
-        self, settings: Settings, own_server: OwnServer
+        self, settings: Settings, own_server: OwnServer, in_flight: InFlightMap
     ) -> CallerProtocol:
         """Requests name a service and a key in headers."""
         return NativeCallerProtocol()
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
@@ -11,7 +11,6 @@
 from marjoramstep_core.errors import ConnectionFailedError
 
 from ..calls import INLINE_BODY_LIMIT_BYTES
-from ..calls import UNKNOWN_LENGTH
 from ..calls import Answer
 from ..calls import Body
 from ..calls import Failed
@@ -138,11 +137,20 @@
             await answer.read()
             return verdict
         headers = strip_hop_by_hop(answer.raw_headers)
-        length = answer.length
-        if length != UNKNOWN_LENGTH and length <= INLINE_BODY_LIMIT_BYTES:
-            data = await answer.read()
-            return Answer(answer.status, headers, Body(data, length=len(data)))
-        body = Body(rest=self._parts(answer), length=length, on_abandon=answer.abandon)
+        parts = self._parts(answer)
+        first = bytearray()
+        if answer.length <= INLINE_BODY_LIMIT_BYTES:
+            # An answer of unknown length may turn out to be short.
+            async for part in parts:
+                first += part
+                if len(first) > INLINE_BODY_LIMIT_BYTES:
+                    break
+            else:
+                data = bytes(first)
+                return Answer(answer.status, headers, Body(data, length=len(data)))
+        body = Body(
+            bytes(first), rest=parts, length=answer.length, on_abandon=answer.abandon
+        )
         return Answer(answer.status, headers, body)
 
     async def _parts(self, answer: ServerAnswer) -> AsyncIterator[bytes]:
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/in_flight.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/in_flight.py
@@ -50,6 +50,7 @@
     def __init__(self, make_allowance: Callable[[int], RetryAllowance]) -> None:
         self._make_allowance = make_allowance
         self._entries: dict[str, InFlight] = {}
+        self._by_key: dict[str, str] = {}
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -64,6 +65,7 @@
         context_id = secrets.token_urlsafe(CONTEXT_BYTES)
         allowance = self._make_allowance(call.retry_tokens)
         self._entries[context_id] = InFlight(call, allowance, started_ms)
+        self._by_key[call.request_key] = context_id
         return context_id
 
     def find(self, context_id: str) -> InFlight | None:
@@ -74,20 +76,31 @@
         """
         return self._entries.get(context_id)
 
+    def context_of(self, request_key: str) -> str | None:
+        """Return the context id of a running request.
+
+        :param request_key: key of the request
+        :return: the context id, or None if it does not run here
+        """
+        return self._by_key.get(request_key)
+
     def remove(self, context_id: str) -> int:
         """Remove a request that has ended; its later sub-calls are refused.
 
         :param context_id: id that :meth:`add` returned
         :return: retry tokens that are left
         """
-        return self._entries.pop(context_id).allowance.held
+        entry = self._entries.pop(context_id)
+        self._by_key.pop(entry.call.request_key, None)
+        return entry.allowance.held
 
     def discard(self, context_id: str) -> None:
         """Remove a request whose retry tokens are given up.
 
         :param context_id: id that :meth:`add` returned
         """
-        self._entries.pop(context_id, None)
+        if context_id in self._entries:
+            self.remove(context_id)
 
     def used_services(self, context_id: str) -> set[str]:
         """Return the services below a running request that its sub-calls reached.
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
@@ -79,6 +79,7 @@
         self.headers: Mapping[str, str] = message.headers
         self.raw_headers: HeaderList = decode_headers(message.raw_headers)
         self.length = length
+        self._is_ended = False
 
     async def read(self) -> bytes:
         """Read the whole body.
@@ -102,13 +103,16 @@
             raise self._connection.broken(str(error)) from error
         finally:
             if is_whole:
+                self._is_ended = True
                 self._connection.finish_answer()
             else:
                 self.abandon()
 
     def abandon(self) -> None:
-        """Give the answer up, which closes the connection."""
-        self._connection.abort()
+        """Give the answer up, which closes the connection unless it was read."""
+        if not self._is_ended:
+            self._is_ended = True
+            self._connection.abort()
 
 
 class ServerConnection(BaseProtocol):
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -97,6 +97,7 @@
         excluded: frozenset[ServerId] = frozenset()
         may_have_run = False
         full_moves = 0
+        sends = 0
         reply: Reply = Refused(Reason.NO_SERVER, "no backend server is ready")
         while True:
             member = self._router.pick(call.service, excluded)
@@ -108,14 +109,17 @@
             is_full = reply.reason in FULL_REASONS
             if is_full and full_moves >= FULL_MOVE_LIMIT:
                 return reply, may_have_run
-            if not self._may_retry(call, reply, allowance):
+            sends += _has_reached_server(reply)
+            if not self._may_retry(call, reply, allowance, sends):
                 return reply, may_have_run
             call.body.restart()
             full_moves += is_full
             may_have_run = may_have_run or isinstance(reply, Failed)
             excluded |= {member.server_id}
 
-    def _may_retry(self, call: Call, reply: Reply, allowance: RetryAllowance) -> bool:
+    def _may_retry(
+        self, call: Call, reply: Reply, allowance: RetryAllowance, sends: int
+    ) -> bool:
         if isinstance(reply, Failed):
             is_useful = (
                 call.row.repeatable
@@ -136,7 +140,7 @@
             self._metrics.count_event("moved on")
             self._log_move("call moved on", call, reply)
             return True
-        if allowance.held == 0:
+        if allowance.held == 0 or sends >= call.row.attempts:
             return False
         if not self._budget.try_spend(call.service):
             self._metrics.count_event("retry over service budget")
@@ -200,6 +204,10 @@
             self._size_classes.observe(call.row, latency_ms)
 
 
+def _has_reached_server(reply: Reply) -> bool:
+    return not isinstance(reply, Refused) or reply.reached_server
+
+
 def parse_address(text: str) -> tuple[str, int]:
     """Split ``ip:port``.
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -48,8 +48,6 @@
 SERVER_ERROR_STATUS = 500
 # Twice the interval at which nodes ask for a confirmation.
 CONFIRMED_TABLE_MS = 10_000.0
-# Weight of a sub-call whose root is not known; the highest of the table's column.
-SUB_CALL_WEIGHT = 1000
 # One plain success in this many is logged.
 SAMPLED_SUCCESSES = 100
 UNKNOWN_AGE_MS = -1.0
@@ -169,7 +167,7 @@
             duration_ms=round(duration_ms, 1),
             allowed_ms=request.deadline_ms,
             peer_host=request.peer_host,
-            is_sub_call=request.is_sub_call,
+            is_sub_call=request.context_id is not None,
             table_version=self._tables.version,
             table_age_ms=_age(self._tables.age_ms()),
         )
@@ -235,8 +233,9 @@
         if row.needs_claim and request.request_key is None:
             return Reason.BAD_KEY
         # Work has been spent on the parent already, so only roots are refused early.
-        is_root = parent is None and not request.is_sub_call
-        if is_root and not self._pressure.admits(row.name, request.service, row.weight):
+        if parent is None and not self._pressure.admits(
+            row.name, request.service, row.weight
+        ):
             return Reason.BACKPRESSURE
         return None
 
@@ -273,10 +272,6 @@
         now_ms: float,
     ) -> EntryResult:
         call = self._make_call(request, key, row, now_ms)
-        if request.is_sub_call:
-            # Its root has cost work already, which a refusal would waste.
-            call.depth = 1
-            call.weight = SUB_CALL_WEIGHT
         reply, may_have_run = await self._dispatcher.dispatch(call, allowance)
         return _result(reply, key, row, may_have_run)
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
@@ -40,7 +40,6 @@
     :param host: host that the caller named; the row found by it names the service
     :param request_id: names the request in logs where it has no key
     :param peer_host: IP address that it came from
-    :param is_sub_call: whether the own backend server makes it for a running request
     """
 
     service: ServiceName
@@ -54,7 +53,6 @@
     host: str = ""
     request_id: str = ""
     peer_host: str = ""
-    is_sub_call: bool = False
 
 
 def parse_request(
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -138,7 +138,9 @@
                 entry,
                 self._tables,
                 self._log,
-                self._adapter.caller_protocol(self._settings, own_server),
+                self._adapter.caller_protocol(
+                    self._settings, own_server, self._in_flight
+                ),
             ),
             adapter=self._adapter,
             links=links,
--- a/packages/platform/src/marjoramstep_platform/adapter.py
+++ b/packages/platform/src/marjoramstep_platform/adapter.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from marjoramstep_daemon.backend_servers.in_flight import InFlightMap
     from marjoramstep_daemon.backend_servers.own_server import OwnServer
     from marjoramstep_daemon.control.replica import Replica
     from marjoramstep_daemon.log import EventLog
@@ -27,7 +28,7 @@
     """Speaks the interfaces of the platform."""
 
     def caller_protocol(
-        self, settings: Settings, own_server: OwnServer
+        self, settings: Settings, own_server: OwnServer, in_flight: InFlightMap
     ) -> PlatformCallerProtocol:
         """Route requests by host and path."""
 
@@ -37,7 +38,7 @@
                 return announcement.service
             return "" if settings.node is None else settings.node.backend_service
 
-        return PlatformCallerProtocol(own_service, settings.peer_address[0])
+        return PlatformCallerProtocol(own_service, in_flight.context_of)
 
     def backend_protocol(self) -> PlatformBackendProtocol:
         """Name the incarnation that may run a request."""
--- a/packages/platform/src/marjoramstep_platform/callers.py
+++ b/packages/platform/src/marjoramstep_platform/callers.py
@@ -27,6 +27,9 @@
     from marjoramstep_daemon.http.message import HttpRequest
 
 MS_PER_SECOND = 1_000.0
+# A server makes up the id of a call from that of the request that it runs. A call whose
+# id does not begin so is treated as a request of a client.
+PARENT_SEPARATOR = "."
 # Long enough for a table, a member or a slot to appear, where nothing better is known.
 DEFAULT_RETRY_AFTER_MS = 100.0
 _WHOLE_MS = re.compile(r"\d{1,9}")
@@ -46,12 +49,16 @@
     """Requests are routed by host and path and carry an id of the attempt.
 
     :param own_service: returns the service of the backend server on this VM
-    :param own_host: IP address of this VM
+    :param find_context: returns the context of a request that runs at that server
     """
 
-    def __init__(self, own_service: Callable[[], str], own_host: str) -> None:
+    def __init__(
+        self,
+        own_service: Callable[[], str],
+        find_context: Callable[[str], str | None],
+    ) -> None:
         self._own_service = own_service
-        self._own_host = own_host
+        self._find_context = find_context
 
     def parse(self, request: HttpRequest) -> EntryRequest:
         """Read the headers of a request.
@@ -84,11 +91,10 @@
             body=request.body,
             request_key=None,
             deadline_ms=None if timeout is None else float(timeout),
-            context_id=None,
+            context_id=self._find_context(attempt_id.rpartition(PARENT_SEPARATOR)[0]),
             host=host,
             request_id=attempt_id,
             peer_host=request.peer_host,
-            is_sub_call=request.peer_host == self._own_host,
         )
 
     def refuse(self, error: InvalidInputError) -> HttpAnswer:
--- a/packages/platform/src/marjoramstep_platform/configuration.py
+++ b/packages/platform/src/marjoramstep_platform/configuration.py
@@ -26,7 +26,9 @@
 HIGHEST_WEIGHT = 900
 WEIGHT_STEP = 100
 QUEUE_LENGTH = 10_000
-MAXIMUM_RETRIES = 10
+MAXIMUM_ATTEMPTS = 11
+# Second sends of one request over its whole chain of calls.
+CHAIN_RETRIES = 4
 DEFAULT_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
 
@@ -148,7 +150,8 @@
         "deadline_ms": int(timeout_ms),
         "objective_ms": int(objective_ms),
         "size_class": "short",
-        "retries": min(max(attempts - 1, 0), MAXIMUM_RETRIES),
+        "retries": CHAIN_RETRIES,
+        "attempts": min(max(attempts, 1), MAXIMUM_ATTEMPTS),
         "queue_length": QUEUE_LENGTH,
         "queue_wait_ms": int(timeout_ms),
         "body_limit_bytes": body_limit,
