--- a/features/steps/docs_pages_steps.py
+++ b/features/steps/docs_pages_steps.py
@@ -58,6 +58,10 @@
         assert advice, name
 
 
+# Columns whose page gives examples of a form, and a value that lacks it.
+FORMS = {"host": "no host", "targets": "archive"}
+
+
 def _is_accepted(name: str, value: object) -> bool:
     try:
         COLUMNS.get(name).parse(value)
@@ -76,10 +80,10 @@
             low, high = map(int, bounds.groups())
             found = [_is_accepted(name, n) for n in (low - 1, low, high, high + 1)]
             assert found == [False, True, True, False], (name, found)
-        elif name in ("method", "size_class", "repeatable"):
+        elif name in ("method", "size_class", "repeatable", "claimed", *FORMS):
             for choice in re.findall(r"`([^`]+)`", values):
                 assert _is_accepted(name, choice), (name, choice)
-            assert not _is_accepted(name, "other"), name
+            assert not _is_accepted(name, FORMS.get(name, "other")), name
         else:
             assert name in ("name", "service", "path_prefix"), name
             continue
--- a/packages/core/src/marjoramstep_core/table/columns.py
+++ b/packages/core/src/marjoramstep_core/table/columns.py
@@ -16,6 +16,7 @@
 METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]{0,252}")
 TARGET_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}:[0-9]{1,9}")
+NO_TARGETS = "none"
 PATH_LIMIT_CHARACTERS = 512
 HOUR_MS = 3_600_000
 MEBIBYTE = 1024 * 1024
@@ -116,11 +117,11 @@
 
 
 def _parse_targets(value: object) -> CellValue:
-    if value == "":
-        return ""
+    if value == NO_TARGETS:
+        return NO_TARGETS
     parts = value.split(",") if isinstance(value, str) else []
     if not parts or not all(TARGET_PATTERN.fullmatch(part) for part in parts):
-        raise CellError("expected service:share pairs such as archive:90,panels:10")
+        raise CellError("expected none or shares such as archive:90,panels:10")
     if not any(int(part.rpartition(":")[2]) for part in parts):
         raise CellError("expected at least one share above 0")
     return str(value)
@@ -151,7 +152,7 @@
 )
 _add(
     "targets",
-    "",
+    NO_TARGETS,
     "Services that requests of a row with a host go to, with their shares.",
     _parse_targets,
 )
--- a/packages/core/src/marjoramstep_core/table/row.py
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -12,6 +12,7 @@
 from ..errors import InvalidInputError
 from ..ids import ServiceName
 from .columns import COLUMNS
+from .columns import NO_TARGETS
 from .columns import CellError
 from .columns import CellValue
 
@@ -106,7 +107,9 @@
     @cached_property
     def shares(self) -> tuple[TargetShare, ...]:
         """Services that requests of this row go to, with their shares."""
-        pairs = (part.rpartition(":") for part in self.targets.split(",") if part)
+        if self.targets == NO_TARGETS:
+            return ()
+        pairs = (part.rpartition(":") for part in self.targets.split(","))
         return tuple(
             TargetShare(ServiceName(name), int(share)) for name, _, share in pairs
         )
