--- /dev/null
+++ b/features/policy/zone_first.feature
@@ -0,0 +1,39 @@
+Feature: Calls stay in their zone while it has room, and targets keep their shares
+  Guards against traffic between zones that gains nothing, calls that wait in a full zone
+  while another one has free slots, and a split that drifts from its shares.
+
+  Scenario: With free slots in the own zone no call leaves it
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    When 100 calls of 50 ms arrive 20 ms apart
+    Then all calls go to zone a
+
+  Scenario: Calls beyond the slots of the own zone go to the others
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    When 20 calls arrive at once
+    Then 10 calls go to zone a and 10 to the other zones
+
+  Scenario: A full server in the own zone is passed over as long as its load is fresh
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    And the server of zone a has just reported 10 running and 3 waiting calls
+    When 4 calls of 50 ms arrive 20 ms apart
+    Then no call goes to zone a
+
+  Scenario: A refusal sends the next calls elsewhere
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    And the server of zone a has just refused a call
+    When 4 calls of 50 ms arrive 20 ms apart
+    Then no call goes to zone a
+
+  Scenario Outline: A split keeps its shares over any number of requests
+    When <count> requests choose among the targets "archive:90,panels:10"
+    Then between <low> and <high> of them go to "panels"
+
+    Examples:
+      | count | low | high |
+      | 10    | 1   | 1    |
+      | 95    | 9   | 10   |
+      | 1000  | 100 | 100  |
+
+  Scenario: A target with a share of 0 gets no request
+    When 50 requests choose among the targets "archive:5,panels:0"
+    Then between 0 and 0 of them go to "panels"
--- /dev/null
+++ b/features/steps/policy_zone_first_steps.py
@@ -0,0 +1,129 @@
+"""Steps for routing by zone and for split targets."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.ids import NodeId
+from marjoramstep_core.ids import ServerId
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.ids import ZoneName
+from marjoramstep_core.states import ServerState
+from marjoramstep_core.table import Row
+from marjoramstep_policy.routing import ROUTERS
+from marjoramstep_policy.routing import CallResult
+from marjoramstep_policy.routing import RouteLoad
+from marjoramstep_policy.routing import RouteMember
+from marjoramstep_policy.routing import TargetChooser
+
+
+SERVICE = ServiceName("archive")
+NEVER = frozenset[ServerId]()
+IDLE = RouteLoad(0, 10, 0)
+
+
+def _member(zone: str, slots: int) -> RouteMember:
+    return RouteMember(
+        ServerId(f"s-{zone}"),
+        NodeId(f"n-{zone}"),
+        "127.0.0.1:1",
+        ZoneName(zone),
+        slots,
+        100,
+        ServerState.READY,
+        1,
+    )
+
+
+def _pick(context: Any) -> RouteMember:
+    member = context.router.pick(SERVICE, NEVER)
+    assert member is not None
+    context.router.started(member.server_id)
+    context.zones[member.zone] += 1
+    return member
+
+
+@given(
+    "a zone-first router with a server of {slots:d} slots in each of the zones a, b "
+    "and c"
+)
+def step_router(context: Any, slots: int) -> None:
+    context.clock = ManualClock(100_000.0)
+    context.zones = Counter()
+    context.router = ROUTERS.get("zone-first")(
+        context.clock, random.Random(3), ZoneName("a")
+    )
+    context.router.update_members(SERVICE, [_member(zone, slots) for zone in "abc"])
+
+
+@given(
+    "the server of zone a has just reported {running:d} running and {waiting:d} "
+    "waiting calls"
+)
+def step_full(context: Any, running: int, waiting: int) -> None:
+    context.router.started(ServerId("s-a"))
+    context.clock.advance_ms(1.0)
+    load = RouteLoad(running, running, waiting)
+    context.router.finished(ServerId("s-a"), 1.0, CallResult.ANSWERED, load)
+
+
+@given("the server of zone a has just refused a call")
+def step_refused(context: Any) -> None:
+    context.router.started(ServerId("s-a"))
+    context.clock.advance_ms(1.0)
+    context.router.finished(ServerId("s-a"), 1.0, CallResult.REFUSED_OVERLOAD, IDLE)
+
+
+@when("{count:d} calls of {lasting_ms:d} ms arrive {gap_ms:d} ms apart")
+def step_calls(context: Any, count: int, lasting_ms: int, gap_ms: int) -> None:
+    running: list[tuple[float, RouteMember]] = []
+    for _ in range(count):
+        now_ms = context.clock.now_ms()
+        for started_ms, member in [c for c in running if now_ms - c[0] >= lasting_ms]:
+            running.remove((started_ms, member))
+            context.router.finished(
+                member.server_id, now_ms - started_ms, CallResult.ANSWERED, IDLE
+            )
+        running.append((now_ms, _pick(context)))
+        context.clock.advance_ms(float(gap_ms))
+
+
+@when("{count:d} calls arrive at once")
+def step_at_once(context: Any, count: int) -> None:
+    for _ in range(count):
+        _pick(context)
+
+
+@when('{count:d} requests choose among the targets "{targets}"')
+def step_choose(context: Any, count: int, targets: str) -> None:
+    row = Row.from_cells({"name": "split", "host": "h", "targets": targets})
+    chooser = TargetChooser()
+    context.chosen = Counter(chooser.choose(row) for _ in range(count))
+
+
+@then("all calls go to zone a")
+def step_all(context: Any) -> None:
+    assert set(context.zones) == {"a"}, context.zones
+
+
+@then("no call goes to zone a")
+def step_none(context: Any) -> None:
+    assert context.zones["a"] == 0, context.zones
+
+
+@then("{near:d} calls go to zone a and {far:d} to the other zones")
+def step_split(context: Any, near: int, far: int) -> None:
+    total = sum(context.zones.values())
+    assert context.zones["a"] == near, context.zones
+    assert total - near == far, context.zones
+
+
+@then('between {low:d} and {high:d} of them go to "{service}"')
+def step_between(context: Any, low: int, high: int, service: str) -> None:
+    assert low <= context.chosen[service] <= high, context.chosen
--- a/packages/policy/src/marjoramstep_policy/admission/controller.py
+++ b/packages/policy/src/marjoramstep_policy/admission/controller.py
@@ -37,6 +37,7 @@
 MIN_RETRY_AFTER_MS = 100
 MAX_RETRY_AFTER_MS = 5000
 DELAY_SMOOTHING = 0.2
+SUB_CALL_EXPECTED_SHARE = 0.5
 OVERLOAD_REASONS = frozenset({Reason.OVERLOAD, Reason.EVICTED, Reason.QUEUE_FULL})
 
 
@@ -360,6 +361,10 @@
         if wait_ms == 0.0 and request.row.name not in self._running_by_row:
             return False
         expected_ms = self._service_times.expected_ms(now_ms, request.row)
+        if request.depth > 0:
+            # Refusing a sub-call ends its root for certain, and about every second
+            # call takes less than the mean.
+            expected_ms *= SUB_CALL_EXPECTED_SHARE
         return now_ms + wait_ms + expected_ms > request.deadline_ms
 
     def _wait_ms(self, now_ms: float, request: AdmissionRequest) -> float:
