--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
@@ -40,6 +40,12 @@
     from .protocol import BackendProtocol
 
 SECOND_MS = 1_000.0
+ADMISSION_DETAILS = {
+    Reason.DEADLINE: "the time left is too short for the wait and its usual time",
+    Reason.OVERLOAD: "it waited too long in the queue",
+    Reason.QUEUE_FULL: "the queue of its row is full",
+    Reason.EVICTED: "a call of higher weight took its place",
+}
 
 
 class ServingService:
@@ -127,7 +133,7 @@
         if refused is not None:
             return Refused(
                 refused.reason,
-                "admission",
+                ADMISSION_DETAILS.get(refused.reason, "admission"),
                 call.retry_tokens,
                 retry_after_ms=refused.retry_after_ms,
             )
