--- a/features/daemon/entry.feature
+++ b/features/daemon/entry.feature
@@ -45,3 +45,14 @@
   Scenario: A backend server may allow a sub-call less time
     When a request with 20 s left makes a sub-call that allows 100 ms
     Then the sub-call ends 100 ms after it began
+
+  Scenario Outline: Only a node with a confirmed table says that there is no row
+    Given an entry whose table <table> and was <confirmed>
+    When a request for an unknown host arrives
+    Then it ends as not run because of "<reason>"
+
+    Examples:
+      | table                    | confirmed              | reason   |
+      | has a row with a host    | confirmed now          | no-route |
+      | has a row with a host    | never confirmed        | no-table |
+      | has no row with a host   | confirmed now          | no-table |
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -331,6 +331,9 @@
         call.deadline_ms = parent.call.deadline_ms
         if request.deadline_ms is not None:
             call.deadline_ms = min(call.deadline_ms, now_ms + request.deadline_ms)
+        if request.host:
+            # A row with a host is that of this call, whoever made it.
+            call.deadline_ms = min(call.deadline_ms, now_ms + row.deadline_ms)
         parent.used_services.add(request.service)
         reply, maybe = await self._dispatcher.dispatch(call, parent.allowance)
         parent.used_services |= call.reached_services
