--- a/features/policy/quarantine.feature
+++ b/features/policy/quarantine.feature
@@ -45,3 +45,7 @@
     When 500 fingerprints are quarantined for 1 s to 500 s
     Then the quarantine list holds the 50 entries with the most time left
     And quarantine times of -1, infinity and NaN are refused as invalid
+
+  Scenario: A crash report is sent again until its quarantine is known
+    When a crash is reported while the replicas do not answer for 250 ms
+    Then the report was sent twice before the quarantine and not after it
--- a/features/steps/policy_quarantine_steps.py
+++ b/features/steps/policy_quarantine_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 from random import Random
 from typing import Any
@@ -14,10 +15,14 @@
 from marjoramstep_core.ids import Fingerprint
 from marjoramstep_core.ids import ServerId
 from marjoramstep_core.ids import ServiceName
+from marjoramstep_daemon.control.quarantine_keeper import QuarantineKeeper
+from marjoramstep_daemon.log import EventLog
 from marjoramstep_policy.quarantine import FINGERPRINT_BODY_BYTES
 from marjoramstep_policy.quarantine import QUARANTINE_LISTS
+from marjoramstep_policy.quarantine import CrashReport
 from marjoramstep_policy.quarantine import CrashTracker
 from marjoramstep_policy.quarantine import FingerprintBuilder
+from marjoramstep_policy.quarantine import QuarantineList
 from marjoramstep_policy.quarantine import fingerprint_request
 
 
@@ -195,3 +200,26 @@
             continue
         raise AssertionError(f"{bad_ms} was accepted")
     assert context.list.is_quarantined(SERVICE, Fingerprint("f500"))
+
+
+@when("a crash is reported while the replicas do not answer for 250 ms")
+def step_lost_report(context: Any) -> None:
+    async def scenario() -> None:
+        clock = ManualClock(0.0)
+        keeper = QuarantineKeeper(QuarantineList(clock), EventLog(clock, "test"))
+        context.sent = []
+        keeper.on_report = context.sent.append
+        service, fingerprint = ServiceName("s"), Fingerprint("f")
+        keeper.report(CrashReport(service, fingerprint, "report-1"))
+        await asyncio.sleep(0.25)
+        context.sent_before = len(context.sent)
+        keeper.add(service, fingerprint, 60_000.0)
+        await asyncio.sleep(0.6)
+
+    asyncio.run(scenario())
+
+
+@then("the report was sent twice before the quarantine and not after it")
+def step_sent_twice(context: Any) -> None:
+    assert context.sent_before == 2, context.sent_before
+    assert len(context.sent) == 2, context.sent
--- a/packages/daemon/src/marjoramstep_daemon/control/quarantine_keeper.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/quarantine_keeper.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from marjoramstep_wire.messages import QuarantineReport
@@ -17,6 +18,10 @@
 
     from ..log import EventLog
 
+# A report is lost when no replica leads or the link to the leader is down. Replicas
+# recognise one that they have by its id.
+RESEND_SECONDS = (0.2, 0.5, 1.5, 4.0)
+
 
 class QuarantineKeeper:
     """Reports suspects and knows what is quarantined.
@@ -69,6 +74,11 @@
             fingerprint=report.fingerprint,
             report_id=report.report_id,
         )
+        self._send(report, RESEND_SECONDS)
+
+    def _send(self, report: CrashReport, resends: tuple[float, ...]) -> None:
+        if self._quarantine.is_quarantined(report.service, report.fingerprint):
+            return
         self.on_report(
             QuarantineReport(
                 service_name=report.service,
@@ -76,3 +86,6 @@
                 report_id=report.report_id,
             )
         )
+        if resends:
+            loop = asyncio.get_running_loop()
+            loop.call_later(resends[0], self._send, report, resends[1:])
