--- a/features/steps/command_stand_in.py
+++ b/features/steps/command_stand_in.py
@@ -11,7 +11,7 @@
 from marjoramstep_core.table import EditOperation
 from marjoramstep_state import StateMachine
 from marjoramstep_state import encode_command
-from marjoramstep_state.commands import EditTable
+from marjoramstep_state.edit_commands import EditTable
 
 
 TOKEN = "secret-token"
--- a/features/steps/state_edits_steps.py
+++ b/features/steps/state_edits_steps.py
@@ -11,7 +11,7 @@
 from marjoramstep_core.ids import TableVersion
 from marjoramstep_core.table import EditOperation
 from marjoramstep_state.commands import AdvanceTime
-from marjoramstep_state.commands import EditTable
+from marjoramstep_state.edit_commands import EditTable
 
 
 def _edit(context: Any, operator: str, key: str, version: int, cells: Any) -> None:
--- a/features/steps/state_machine_steps.py
+++ b/features/steps/state_machine_steps.py
@@ -21,13 +21,13 @@
 from marjoramstep_state.commands import AdvanceTime
 from marjoramstep_state.commands import ChangeVerdict
 from marjoramstep_state.commands import Claim
-from marjoramstep_state.commands import EditTable
 from marjoramstep_state.commands import EndClaim
 from marjoramstep_state.commands import EndState
 from marjoramstep_state.commands import LookUpClaim
 from marjoramstep_state.commands import RecordReplicaChange
 from marjoramstep_state.commands import ReplicaAction
 from marjoramstep_state.commands import ReportCrash
+from marjoramstep_state.edit_commands import EditTable
 
 
 START_MS = 1_700_000_000_000
--- a/features/steps/state_replacement_steps.py
+++ b/features/steps/state_replacement_steps.py
@@ -8,7 +8,7 @@
 from behave import when
 from marjoramstep_core.ids import EditKey
 from marjoramstep_core.ids import OperatorName
-from marjoramstep_state.commands import ReplaceTable
+from marjoramstep_state.edit_commands import ReplaceTable
 
 
 @when(
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import secrets
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
@@ -20,6 +19,7 @@
 from ..calls import Failed
 from ..calls import Refused
 from .key_history import KeyHistory
+from .outcome_log import OutcomeLog
 
 
 if TYPE_CHECKING:
@@ -48,9 +48,6 @@
 SERVER_ERROR_STATUS = 500
 # Twice the interval at which nodes ask for a confirmation.
 CONFIRMED_TABLE_MS = 10_000.0
-# One plain success in this many is logged.
-SAMPLED_SUCCESSES = 100
-UNKNOWN_AGE_MS = -1.0
 # The claim shows that nothing with this content ran under the key.
 REASONS_PROVED_BY_CLAIM = frozenset(
     {Reason.KEY_CLOSED, Reason.KEY_REUSED, Reason.BAD_KEY}
@@ -127,9 +124,8 @@
         self._make_allowance = make_allowance
         self._metrics = metrics
         self._claim_check = claim_check
-        self._log = log
+        self._outcomes = OutcomeLog(tables, log)
         self._targets = targets or TargetChooser()
-        self._answered = 0
         self._history = KeyHistory()
         self.is_shutting_down = False
         self.in_progress = 0
@@ -152,36 +148,9 @@
         self._metrics.count_outcome(
             result.row_name, "" if reason is None else reason.value, duration_ms
         )
-        self._log_result(request, result, duration_ms)
+        self._outcomes.write(request, result, duration_ms)
         return result
 
-    def _log_result(
-        self, request: EntryRequest, result: EntryResult, duration_ms: float
-    ) -> None:
-        reply = result.reply
-        is_plain = isinstance(reply, Answer) and reply.status < SERVER_ERROR_STATUS
-        self._answered += is_plain
-        if is_plain and self._answered % SAMPLED_SUCCESSES:
-            return
-        reason = "" if reply.reason is None else reply.reason.value
-        self._log.decide(
-            "request answered" if isinstance(reply, Answer) else "request ended",
-            result.request_key,
-            step="answer caller",
-            reason=reason,
-            outcome=result.outcome.value,
-            status=reply.status if isinstance(reply, Answer) else None,
-            detail="" if isinstance(reply, Answer) else reply.detail,
-            row=result.row_name,
-            service=request.service,
-            duration_ms=round(duration_ms, 1),
-            allowed_ms=request.deadline_ms,
-            peer_host=request.peer_host,
-            is_sub_call=request.context_id is not None,
-            table_version=self._tables.version,
-            table_age_ms=_age(self._tables.age_ms()),
-        )
-
     async def _confirm_not_run(
         self, request: EntryRequest, result: EntryResult
     ) -> None:
@@ -375,10 +344,6 @@
         )
 
 
-def _age(age_ms: float) -> float:
-    return round(age_ms) if math.isfinite(age_ms) else UNKNOWN_AGE_MS
-
-
 def _refused(reason: Reason, key: str, row_name: str) -> EntryResult:
     return EntryResult(Refused(reason), Outcome.NOT_RUN, key, row_name)
 
--- a/packages/daemon/src/marjoramstep_daemon/control/node_service.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/node_service.py
@@ -51,7 +51,7 @@
 
     from marjoramstep_core.clock import Clock
     from marjoramstep_state import MembershipRegistry
-    from marjoramstep_state.commands import Command
+    from marjoramstep_state.command import Command
     from marjoramstep_state.membership.registry import MemberPush
     from marjoramstep_wire.connection import PeerConnection
     from marjoramstep_wire.messages import Message
--- a/packages/daemon/src/marjoramstep_daemon/control/replica.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replica.py
@@ -28,6 +28,7 @@
 
 from .futures import fail_future
 from .futures import resolve
+from .join_requests import JoinRequests
 from .log_time import LogTime
 from .quorum_contact import QuorumContact
 from .replicated_state import NotLeaderError
@@ -45,7 +46,7 @@
     from marjoramstep_core.clock import Clock
     from marjoramstep_core.ids import Fingerprint
     from marjoramstep_core.ids import ServiceName
-    from marjoramstep_state.commands import Command
+    from marjoramstep_state.command import Command
     from marjoramstep_state.results import ApplyResult
     from marjoramstep_state.results import CommandResult
     from marjoramstep_wire.messages import Message
@@ -60,10 +61,6 @@
 PROPOSAL_LIMIT = 20_000
 ADVANCE_TIME_SECONDS = 10.0
 JOIN_SECONDS = 0.5
-# Time without a leader after which a member asks whether it still is one.
-LEFT_OUT_MS = 4_000.0
-# A replica that waits repeats its request more often than this.
-ASKED_MS = 2_500.0
 SECOND_MS = 1_000.0
 # A stored answer of 1 MiB takes 1.4 MiB in base64; a frame may have 2 MiB.
 PAYLOAD_LIMIT_BYTES = 1_792 * 1024
@@ -130,8 +127,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._encode_timer: asyncio.TimerHandle | None = None
         self._table_version = self.machine.table.version
-        self._asked_ms: dict[ReplicaId, float] = {}
-        self._led_ms = clock.now_ms()
+        self._joins = JoinRequests(clock)
         self._reported_role = (ReplicaRole.FOLLOWER, -1)
         self.failure: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.on_table_version: Callable[[int], None] = lambda _: None
@@ -177,7 +173,7 @@
         advanced_ms = self._clock.now_ms()
         while True:
             await asyncio.sleep(JOIN_SECONDS)
-            if self._seems_left_out():
+            if self._joins.seems_left_out(self.core):
                 request = JoinRequest(
                     replica_id=self.core.replica_id, address=self._address
                 )
@@ -188,27 +184,12 @@
                     advanced_ms = self._clock.now_ms()
                     await self._advance_time()
 
-    def _seems_left_out(self) -> bool:
-        # A replica that was removed while it was cut off still finds itself in its own
-        # log, but no leader sends to it any more.
-        if self.core.replica_id not in self.core.membership.members:
-            return True
-        is_led = self.core.leader_id is not None
-        if is_led:
-            self._led_ms = self._clock.now_ms()
-        return self._clock.now_ms() - self._led_ms > LEFT_OUT_MS
-
     def recently_waiting(self) -> dict[ReplicaId, str]:
         """Return the replicas that ask to be admitted, without those that gave up.
 
         :return: address by id
         """
-        oldest_ms = self._clock.now_ms() - ASKED_MS
-        return {
-            replica_id: address
-            for replica_id, address in self.core.waiting_replicas.items()
-            if self._asked_ms.get(replica_id, 0.0) >= oldest_ms
-        }
+        return self._joins.recent(self.core.waiting_replicas)
 
     def receive(self, sender: ReplicaId, message: Message) -> None:
         """Take a message of another replica.
@@ -221,7 +202,7 @@
             self._links.know(message.leader_address)
             return
         if isinstance(message, JoinRequest):
-            self._asked_ms[sender] = self._clock.now_ms()
+            self._joins.note(sender)
         self._handle(self.core.receive(sender, message))
         self.contact.on_received(sender, message)
 
--- a/packages/daemon/src/marjoramstep_daemon/control/replicated_state.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/replicated_state.py
@@ -12,7 +12,7 @@
     from collections.abc import Callable
 
     from marjoramstep_state import StateMachine
-    from marjoramstep_state.commands import Command
+    from marjoramstep_state.command import Command
     from marjoramstep_state.results import CommandResult
 
 
--- a/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
+++ b/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
@@ -15,9 +15,9 @@
 from marjoramstep_core.ids import TableVersion
 from marjoramstep_core.table import EditOperation
 from marjoramstep_state.commands import ChangeVerdict
-from marjoramstep_state.commands import EditTable
 from marjoramstep_state.commands import RecordReplicaChange
 from marjoramstep_state.commands import ReplicaAction
+from marjoramstep_state.edit_commands import EditTable
 from marjoramstep_state.results import EditResult
 from marjoramstep_state.results import EditVerdict
 
@@ -31,7 +31,7 @@
     from marjoramstep_consensus.effects import Effect
     from marjoramstep_consensus.replica_core import ReplicaCore
     from marjoramstep_state import MembershipRegistry
-    from marjoramstep_state.commands import Command
+    from marjoramstep_state.command import Command
 
     from ..control.replica import Replica
     from .tokens import OperatorTokens
--- a/packages/platform/src/marjoramstep_platform/operator_api.py
+++ b/packages/platform/src/marjoramstep_platform/operator_api.py
@@ -9,7 +9,7 @@
 from marjoramstep_core.errors import UnavailableError
 from marjoramstep_core.ids import OperatorName
 from marjoramstep_daemon.control.replicated_state import NotLeaderError
-from marjoramstep_state.commands import ReplaceTable
+from marjoramstep_state.edit_commands import ReplaceTable
 from marjoramstep_state.results import EditResult
 from marjoramstep_state.results import EditVerdict
 
@@ -19,7 +19,7 @@
 if TYPE_CHECKING:
     from marjoramstep_daemon.control.replica import Replica
     from marjoramstep_daemon.log import EventLog
-    from marjoramstep_state.commands import Command
+    from marjoramstep_state.command import Command
 
 BODY_LIMIT_BYTES = 1024 * 1024
 # The platform does not say who its operators are.
--- a/packages/state/src/marjoramstep_state/__init__.py
+++ b/packages/state/src/marjoramstep_state/__init__.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .commands import COMMANDS
+from .command import COMMANDS
 from .commands import decode_command
 from .commands import encode_command
 from .errors import InvalidCommandError
--- a/packages/state/src/marjoramstep_state/commands.py
+++ b/packages/state/src/marjoramstep_state/commands.py
@@ -5,16 +5,12 @@
 from dataclasses import dataclass
 from enum import Enum
 from enum import unique
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
-from typing import Protocol
 from typing import TypeVar
 
 import orjson
-from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.ids import AttemptId
-from marjoramstep_core.ids import EditKey
 from marjoramstep_core.ids import Fingerprint
 from marjoramstep_core.ids import NodeId
 from marjoramstep_core.ids import OperatorName
@@ -22,19 +18,15 @@
 from marjoramstep_core.ids import RequestKey
 from marjoramstep_core.ids import RowName
 from marjoramstep_core.ids import ServiceName
-from marjoramstep_core.ids import TableVersion
-from marjoramstep_core.registry import Registry
-from marjoramstep_core.table import EditOperation
 
 from .answer import AnswerRecord
+from .command import COMMANDS
+from .command import Command
 from .errors import InvalidCommandError
 from .fields import Fields
 from .limits import COMMAND_LIMIT_BYTES
 
 
-if TYPE_CHECKING:
-    from typing import Self
-
 E = TypeVar("E", bound=Enum)
 
 
@@ -62,135 +54,6 @@
     REFUSED = "refused"
 
 
-class Command(Protocol):
-    """A command; ``log_time_ms`` is stamped by the leader, in Unix milliseconds."""
-
-    kind: ClassVar[str]
-
-    @property
-    def log_time_ms(self) -> int:
-        """Time of the log entry in Unix milliseconds."""
-
-    def to_json(self) -> dict[str, Any]:
-        """Return the fields as JSON values."""
-
-    @classmethod
-    def from_json(cls, fields: Fields) -> Self:
-        """Build the command; raises :class:`InvalidCommandError`."""
-
-
-COMMANDS: Registry[type[Command]] = Registry("command")
-
-
-@COMMANDS.register("edit-table")
-@dataclass(frozen=True)
-class EditTable:
-    """Edit of the table by compare-and-set on its version.
-
-    :param log_time_ms: time of the log entry
-    :param edit_key: chosen by the operator's tool; equal on a resend
-    :param base_version: version that the operator saw
-    :param operator: who edits
-    :param origin: address from where
-    :param operations: applied all or none
-    """
-
-    kind: ClassVar[str] = "edit-table"
-    log_time_ms: int
-    edit_key: EditKey
-    base_version: TableVersion
-    operator: OperatorName
-    origin: str
-    operations: tuple[EditOperation, ...]
-
-    def to_json(self) -> dict[str, Any]:
-        """Return the fields as JSON values."""
-        operations = [operation.to_json() for operation in self.operations]
-        return {**vars(self), "operations": operations}
-
-    @classmethod
-    def from_json(cls, fields: Fields) -> EditTable:
-        """Build the command; raises :class:`InvalidCommandError`."""
-        return cls(
-            fields.time_ms("log_time_ms"),
-            EditKey(fields.edit_key("edit_key")),
-            TableVersion(fields.integer("base_version")),
-            OperatorName(fields.name("operator")),
-            fields.text("origin"),
-            tuple(map(_read_operation, fields.items("operations"))),
-        )
-
-
-@COMMANDS.register("replace-table")
-@dataclass(frozen=True)
-class ReplaceTable:
-    """Replacement of the whole table by compare-and-set on its revision.
-
-    :param log_time_ms: time of the log entry
-    :param edit_key: digest of the content, so that a resend is recognised
-    :param revision: number that the operator gave to the new table
-    :param base_revision: number of the table that the operator started from
-    :param operator: who edits
-    :param origin: address from where
-    :param rows: cells of all rows
-    :param source: what the operator sent, kept to be read back
-    """
-
-    kind: ClassVar[str] = "replace-table"
-    log_time_ms: int
-    edit_key: EditKey
-    revision: int
-    base_revision: int
-    operator: OperatorName
-    origin: str
-    rows: tuple[dict[str, object], ...]
-    source: str
-
-    def to_json(self) -> dict[str, Any]:
-        """Return the fields as JSON values."""
-        return {**vars(self), "rows": list(self.rows)}
-
-    @classmethod
-    def from_json(cls, fields: Fields) -> ReplaceTable:
-        """Build the command; raises :class:`InvalidCommandError`."""
-        return cls(
-            fields.time_ms("log_time_ms"),
-            EditKey(fields.edit_key("edit_key")),
-            fields.integer("revision"),
-            fields.integer("base_revision"),
-            OperatorName(fields.name("operator")),
-            fields.text("origin"),
-            tuple(map(_read_cells, fields.items("rows"))),
-            fields.text("source", limit=COMMAND_LIMIT_BYTES),
-        )
-
-
-def _read_cells(document: Any) -> dict[str, object]:
-    if not isinstance(document, dict):
-        raise InvalidCommandError("rows: expected objects of cells")
-    for column, value in document.items():
-        if isinstance(value, (dict, list)):
-            raise InvalidCommandError(
-                f"{column[:64]}: expected a text, a number, true or false"
-            )
-    return document
-
-
-def _read_operation(document: Any) -> EditOperation:
-    try:
-        operation = EditOperation.from_json(document)
-    except InvalidInputError as error:
-        raise InvalidCommandError(error.message) from error
-    for column, value in operation.cells.items():
-        # Nested values could exceed the depth that the audit trail can write.
-        if isinstance(value, (dict, list)):
-            raise InvalidCommandError(
-                f"{operation.row[:64]}.{column[:64]}: expected a text, a number, true "
-                "or false"
-            )
-    return operation
-
-
 @COMMANDS.register("claim")
 @dataclass(frozen=True)
 class Claim:
--- a/packages/state/src/marjoramstep_state/edits.py
+++ b/packages/state/src/marjoramstep_state/edits.py
@@ -29,8 +29,8 @@
 if TYPE_CHECKING:
     from marjoramstep_core.ids import RowName
 
-    from .commands import EditTable
-    from .commands import ReplaceTable
+    from .edit_commands import EditTable
+    from .edit_commands import ReplaceTable
     from .limits import StateLimits
 
 FAULT_VALUE_LIMIT_CHARACTERS = 200
--- a/packages/state/src/marjoramstep_state/machine.py
+++ b/packages/state/src/marjoramstep_state/machine.py
@@ -14,13 +14,13 @@
 from .claims.store import ClaimStore
 from .commands import AdvanceTime
 from .commands import Claim
-from .commands import EditTable
 from .commands import EndClaim
 from .commands import LookUpClaim
 from .commands import RecordReplicaChange
-from .commands import ReplaceTable
 from .commands import ReportCrash
 from .commands import decode_command
+from .edit_commands import EditTable
+from .edit_commands import ReplaceTable
 from .edits import EditBook
 from .errors import InvalidCommandError
 from .errors import InvalidSnapshotError
@@ -44,7 +44,7 @@
     from .audit import AuditEntry
     from .audit import AuditFault
     from .audit import AuditFilter
-    from .commands import Command
+    from .command import Command
     from .quarantine import QuarantineEntry
     from .results import ClaimResult
     from .results import CommandResult
