--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/control/control_metrics.py
@@ -0,0 +1,55 @@
+"""What a control replica reports of itself."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from prometheus_client.core import Metric
+
+    from .replica import Replica
+
+
+class ControlMetrics(Collector):
+    """Gauges of the replicated log, read at each scrape.
+
+    :param replica: the replica of this process
+    """
+
+    def __init__(self, replica: Replica) -> None:
+        self._replica = replica
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield all gauges."""
+        for name, (text, value) in self._gauges().items():
+            yield GaugeMetricFamily(f"marjoramstep_{name}", text, value=value)
+
+    def _gauges(self) -> dict[str, tuple[str, float]]:
+        core, machine = self._replica.core, self._replica.machine
+        silent_ms = self._replica.contact.silent_ms().values()
+        return {
+            "replica_leads": ("1 for the leader.", float(self._replica.is_leader)),
+            "replica_term": ("Term of the log.", core.term),
+            "replica_voters": ("Voters.", len(core.membership.voters)),
+            "replica_learners": ("Learners.", len(core.membership.learners)),
+            "replica_last_index": ("Last entry.", core.last_index),
+            "replica_commit_index": ("Last committed entry.", core.commit_index),
+            "replica_applied_index": ("Last applied entry.", core.applied_index),
+            "replica_confirmed_age_ms": (
+                "Time since a quorum confirmed the leader, negative if unknown.",
+                self._replica.confirmed_age_ms(),
+            ),
+            "replica_longest_silence_ms": (
+                "Longest time since a member was heard, at the leader.",
+                max(silent_ms, default=0.0),
+            ),
+            "table_version": ("Version of the table.", machine.table.version),
+            "table_revision": ("Last accepted replacement.", machine.revision),
+            "claims": ("Records of request keys.", machine.claim_count),
+        }
--- a/packages/daemon/src/marjoramstep_daemon/control/control_process.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/control_process.py
@@ -22,8 +22,11 @@
 from ..adapter import load_adapter
 from ..http.site import HttpSite
 from ..operators.edit_api import EditApi
+from ..operators.edit_api import describe_status
+from ..operators.node_http import make_node_app
 from ..operators.tokens import OperatorTokens
 from ..peer_listener import Route
+from .control_metrics import ControlMetrics
 from .member_keeper import MemberKeeper
 from .node_service import NodeService
 from .replica import Replica
@@ -158,6 +161,13 @@
             self.replica, log
         )
         self._adapter_site = None if adapter_app is None else HttpSite(adapter_app)
+        self._metrics_site = HttpSite(
+            make_node_app(
+                ControlMetrics(self.replica),
+                lambda: describe_status(self.replica),
+                lambda: self.replica.confirmed_age_ms() >= 0,
+            )
+        )
         self._members = MemberKeeper(self.replica, log)
         listener.add_route(
             Route.NODE_CONTROL, lambda c: _NodeControlSession(self._service, c)
@@ -198,6 +208,10 @@
             bound["adapter"] = await self._adapter_site.start(
                 self._control.adapter_address
             )
+        if self._control.metrics_address:
+            bound["metrics"] = await self._metrics_site.start(
+                self._control.metrics_address
+            )
         self.replica.start()
         self._tasks = [
             asyncio.create_task(self.replica.run()),
@@ -212,6 +226,7 @@
     async def close(self) -> None:
         """Stop serving and release the data folder."""
         await self._site.close()
+        await self._metrics_site.close()
         if self._adapter_site is not None:
             await self._adapter_site.close()
         for task in self._tasks:
--- a/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
+++ b/packages/daemon/src/marjoramstep_daemon/operators/edit_api.py
@@ -249,23 +249,30 @@
         return web.json_response({"entries": entries})
 
     async def _get_status(self, _: web.Request) -> web.Response:
-        core, machine = self._replica.core, self._replica.machine
-        return web.json_response(
-            {
-                "replica_id": core.replica_id,
-                "role": core.role.value,
-                "leads": self._replica.is_leader,
-                "term": core.term,
-                "leader_id": core.leader_id,
-                "commit_index": core.commit_index,
-                "applied_index": core.applied_index,
-                "last_index": core.last_index,
-                "confirmed_age_ms": self._replica.confirmed_age_ms(),
-                "table_version": machine.table.version,
-                "claims": machine.claim_count,
-                "stored_answers_bytes": machine.answers_bytes,
-            }
-        )
+        return web.json_response(describe_status(self._replica))
+
+
+def describe_status(replica: Replica) -> dict[str, Any]:
+    """Describe a replica as it sees itself.
+
+    :param replica: the replica of this process
+    :return: JSON values
+    """
+    core, machine = replica.core, replica.machine
+    return {
+        "replica_id": core.replica_id,
+        "role": core.role.value,
+        "leads": replica.is_leader,
+        "term": core.term,
+        "leader_id": core.leader_id,
+        "commit_index": core.commit_index,
+        "applied_index": core.applied_index,
+        "last_index": core.last_index,
+        "confirmed_age_ms": replica.confirmed_age_ms(),
+        "table_version": machine.table.version,
+        "claims": machine.claim_count,
+        "stored_answers_bytes": machine.answers_bytes,
+    }
 
 
 def describe_replicas(replica: Replica) -> dict[str, Any]:
--- a/packages/daemon/src/marjoramstep_daemon/operators/node_http.py
+++ b/packages/daemon/src/marjoramstep_daemon/operators/node_http.py
@@ -13,11 +13,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from ..metrics import NodeMetrics
+    from prometheus_client.registry import Collector
 
 
 def make_node_app(
-    metrics: NodeMetrics,
+    metrics: Collector,
     status: Callable[[], dict[str, Any]],
     is_healthy: Callable[[], bool],
 ) -> web.Application:
--- a/packages/daemon/src/marjoramstep_daemon/settings.py
+++ b/packages/daemon/src/marjoramstep_daemon/settings.py
@@ -62,6 +62,7 @@
     data_folder: Path
     operator_address: Address
     adapter_address: Address | None
+    metrics_address: Address | None
     operators: tuple[OperatorSettings, ...]
     initial_replicas: tuple[ReplicaSettings, ...]
     starts_deployment: bool
@@ -304,6 +305,7 @@
         data_folder=Path(reader.text("data_folder")),
         operator_address=reader.address("operator_address"),
         adapter_address=reader.optional_address("adapter_address"),
+        metrics_address=reader.optional_address("metrics_address"),
         operators=tuple(
             _read_operator(reader.section(f"operators[{i}]", value))
             for i, value in enumerate(reader.items("operators"))
