--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -249,9 +249,10 @@
         async def is_ready() -> bool:
             url = f"http://127.0.0.1:{world.node['ready']}/-/ready"
             async with aiohttp.ClientSession() as session:
-                async with session.get(url) as response:
-                    if response.status != 200:
-                        return False
+                response = await session.get(url)
+                response.release()
+                if response.status != 200:
+                    return False
                 await world.announce(session)
                 return True
 
@@ -273,7 +274,8 @@
 
 
 @then(
-    "the same configuration put again is acknowledged and another one on its base is not"
+    "the same configuration put again is acknowledged and another one on its base is "
+    "not"
 )
 def step_again(context: Any) -> None:
     assert run(_put_anywhere(context.platform, context.document)) == 200
