--- a/features/steps/platform_processes_steps.py
+++ b/features/steps/platform_processes_steps.py
@@ -175,11 +175,13 @@
 
 async def _put(world: PlatformWorld, name: str, document: Any) -> int:
     url = f"http://127.0.0.1:{world.ports[name]['api']}/-/config"
-    async with aiohttp.ClientSession() as session:
-        # A redirect names the port of the replica that sends it, since all machines of
-        # the platform use the same ports; here each replica has its own.
-        async with session.put(url, json=document, allow_redirects=False) as response:
-            return response.status
+    # A redirect names the port of the replica that sends it, since all machines of the
+    # platform use the same ports; here each replica has its own.
+    async with (
+        aiohttp.ClientSession() as session,
+        session.put(url, json=document, allow_redirects=False) as response,
+    ):
+        return response.status
 
 
 async def _put_anywhere(world: PlatformWorld, document: Any) -> int:
