Lower the admitted share for the whole time of a long window

Cause: with fewer than four outcomes in 250 ms a window lasts up to 1 s. Change: the decrease takes as many steps as the increase. The new scenario failed before.

--- a/features/policy/root_throttle.feature
+++ b/features/policy/root_throttle.feature
@@ -24,3 +24,9 @@
     Given a "adaptive" throttle for roots with 10 calls each to a service with 200 calls a second
     When 1000 roots end without a call that was shed
     Then the admitted share is 1
+
+  # With few roots a window lasts longer, and both directions have to take that time.
+  Scenario: A row with few requests is held back as fast as one with many
+    Given a "adaptive" throttle for roots with 10 calls each to a service with 200 calls a second
+    When all roots of a row with 2 a second and of one with 40 a second are shed for 3 s
+    Then the admitted shares of both rows differ by less than 0.1
--- a/features/steps/policy_root_throttle_steps.py
+++ b/features/steps/policy_root_throttle_steps.py
@@ -72,3 +72,18 @@
 @then("the admitted share is 1")
 def step_share(context: Any) -> None:
     assert context.throttle.share(ROW) == 1.0, context.throttle.share(ROW)
+
+
+@when("all roots of a row with 2 a second and of one with 40 a second are shed for 3 s")
+def step_both_shed(context: Any) -> None:
+    for number in range(3 * 40):
+        context.throttle.finished(RowName("many"), shed_below=True)
+        if number % 20 == 0:
+            context.throttle.finished(RowName("few"), shed_below=True)
+        context.clock.advance_ms(25.0)
+
+
+@then("the admitted shares of both rows differ by less than 0.1")
+def step_shares(context: Any) -> None:
+    shares = [context.throttle.share(RowName(name)) for name in ("few", "many")]
+    assert abs(shares[0] - shares[1]) < 0.1, shares
--- a/packages/policy/src/marjoramstep_policy/admission/root_throttle.py
+++ b/packages/policy/src/marjoramstep_policy/admission/root_throttle.py
@@ -114,10 +114,11 @@
         if not is_full and lasted_ms < MAX_WINDOW_MS:
             return
         shed_share = state.shed / state.finished if state.finished else 0.0
+        steps = max(lasted_ms / WINDOW_MS, 1.0)
         if shed_share > SHED_LIMIT:
-            state.share = max(state.share * (1.0 - DECREASE * shed_share), MIN_SHARE)
+            kept = (1.0 - DECREASE * shed_share) ** steps
+            state.share = max(state.share * kept, MIN_SHARE)
         else:
-            steps = max(lasted_ms / WINDOW_MS, 1.0)
             step = max(state.share * INCREASE, MIN_INCREASE)
             state.share = min(state.share + step * steps, 1.0)
         state.window_ms = now_ms
