Hold calls back while the backend server turns them away

The node beside a server that sheds went on to send it every call.

Change: a circuit breaker between admission and the backend server; while it is open, the node refuses, which costs no second send, and tests with single requests. New log lines on its changes, on members that the router suspends, and on delays of the event loop; counters of calls by zone.

--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
@@ -40,6 +40,7 @@
     from .in_flight import InFlightMap
     from .own_server import OwnServer
     from .protocol import BackendProtocol
+    from .shed_watch import ShedWatch
 
 SECOND_MS = 1_000.0
 ADMISSION_DETAILS = {
@@ -64,6 +65,7 @@
     :param metrics: counters and histograms
     :param log: told each refusal and failure
     :param throttle: admits fewer roots of a row whose calls are shed below
+    :param sheds: holds calls back while the backend server turns requests away
     :param protocol: the HTTP that the backend server speaks
     """
 
@@ -80,6 +82,7 @@
         metrics: NodeMetrics,
         log: EventLog,
         throttle: RootThrottle,
+        sheds: ShedWatch,
         protocol: BackendProtocol | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
@@ -94,6 +97,7 @@
         self._metrics = metrics
         self._log = log
         self._throttle = throttle
+        self._sheds = sheds
         self._protocol = protocol or NativeBackendProtocol()
         self.is_shutting_down = False
 
@@ -153,7 +157,7 @@
         succeeded = False
         try:
             # The call may have waited, and this process may have been frozen.
-            refusal = self._check(call)
+            refusal = self._check(call) or self._sheds.check(call)
             if refusal is not None:
                 return refusal
             if not call.row.needs_claim:
@@ -239,6 +243,7 @@
             )
             reply = await client.send(call, headers)
             call.started = not isinstance(reply, Refused)
+            self._sheds.note(reply)
         except BackendServerError as error:
             reply = await self._on_fault(call, error, client, incarnation)
         except MarjoramstepError as error:
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -20,6 +20,7 @@
     from marjoramstep_policy.admission import SizeClasses
     from marjoramstep_policy.retries import RetryAllowance
     from marjoramstep_policy.retries import ServiceRetryBudget
+    from marjoramstep_policy.routing import RouteChange
     from marjoramstep_policy.routing import RouteMember
     from marjoramstep_policy.routing import Router
 
@@ -82,6 +83,7 @@
         self._size_classes = size_classes
         self._metrics = metrics
         self._log = log
+        router.on_change = self._log_change
 
     async def dispatch(
         self, call: Call, allowance: RetryAllowance
@@ -166,6 +168,18 @@
             queue_length=None if load is None else load.queue_length,
         )
 
+    def _log_change(self, change: RouteChange) -> None:
+        self._log.write(
+            "member suspended" if change.suspended else "member recovered",
+            step="route call",
+            peer=change.server_id,
+            zone=change.zone,
+            latency_ms=round(change.latency_ms, 1),
+            reference_ms=round(change.reference_ms, 1),
+            failures=change.failures,
+            in_flight=change.in_flight,
+        )
+
     async def _attempt(
         self, call: Call, member: RouteMember, allowance: RetryAllowance
     ) -> Reply:
@@ -173,6 +187,11 @@
         call.started = False
         started_ms = self._clock.now_ms()
         self._router.started(member.server_id, call.size_class)
+        self._metrics.count_event(
+            "call in the own zone"
+            if member.zone == self._router.own_zone
+            else "call to another zone"
+        )
         reply: Reply | None = None
         try:
             if member.node_id == self._node_id:
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -11,6 +11,7 @@
 from marjoramstep_core.states import Role
 from marjoramstep_policy.admission import ADMISSION_VARIANTS
 from marjoramstep_policy.admission import ROOT_THROTTLES
+from marjoramstep_policy.admission import SHED_BREAKERS
 from marjoramstep_policy.admission import SIZE_CLASS_VARIANTS
 from marjoramstep_policy.membership import MembershipView
 from marjoramstep_policy.pressure import PRESSURE_VARIANTS
@@ -29,6 +30,7 @@
 from .backend_servers.in_flight import InFlightMap
 from .backend_servers.own_server import OwnServer
 from .backend_servers.serving import ServingService
+from .backend_servers.shed_watch import ShedWatch
 from .callers.claim_check import ClaimCheck
 from .callers.dispatcher import Dispatcher
 from .callers.entry import EntryService
@@ -121,6 +123,7 @@
             ROOT_THROTTLES.get(
                 self._variant(decisions.BACKPRESSURE, "adaptive", "open")
             )(self._clock, random.Random()),
+            self._build_sheds(own_server),
             protocol,
         )
         claim_check = ClaimCheck(self._clock, control.claims, self._metrics)
@@ -157,6 +160,11 @@
         controller = ADMISSION_VARIANTS.get(self._admission())
         return AdmissionGate(self._clock, controller(self._clock, INITIAL_SLOTS))
 
+    def _build_sheds(self, own_server: OwnServer) -> ShedWatch:
+        variant = self._variant(decisions.ADMISSION, "breaker", "closed")
+        breaker = SHED_BREAKERS.get(variant)(self._clock, random.Random())
+        return ShedWatch(breaker, own_server, self._log)
+
     def _build_links(self) -> LinkPool:
         return LinkPool(
             self._settings.deployment_key,
--- a/packages/daemon/src/marjoramstep_daemon/node.py
+++ b/packages/daemon/src/marjoramstep_daemon/node.py
@@ -10,6 +10,7 @@
 from marjoramstep_core.states import ServerState
 
 from .http.site import HttpSite
+from .loop_watch import LoopWatch
 from .nodes.session import NodeSession
 from .operators.node_http import make_node_app
 from .peer_listener import Route
@@ -72,6 +73,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._sessions: set[NodeSession] = set()
         self._is_leaving = False
+        self._loop_watch = LoopWatch(self.log)
         self._announce_site = HttpSite(
             self.adapter.make_announce_app(self.own_server, self.log)
         )
@@ -112,6 +114,7 @@
             asyncio.create_task(self.control.run()),
             asyncio.create_task(self._run_housekeeping()),
             asyncio.create_task(self.links.run()),
+            asyncio.create_task(self._loop_watch.run()),
         ]
         return bound
 
@@ -232,4 +235,5 @@
             "late_replies": self.links.late_replies,
             "quarantined": self.quarantine.count(),
             "server_ready": float(self.own_server.state is ServerState.READY),
+            **self._loop_watch.gauges(),
         }
--- a/packages/policy/src/marjoramstep_policy/admission/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/admission/__init__.py
@@ -12,6 +12,8 @@
 from .messages import Start
 from .root_throttle import ROOT_THROTTLES
 from .root_throttle import RootThrottle
+from .shed_breaker import SHED_BREAKERS
+from .shed_breaker import ShedBreaker
 from .size_class import SIZE_CLASS_VARIANTS
 from .size_class import SizeClasses
 from .size_class import SizeClassifier
@@ -20,6 +22,8 @@
 __all__ = [
     "ROOT_THROTTLES",
     "RootThrottle",
+    "SHED_BREAKERS",
+    "ShedBreaker",
     "ADMISSION_VARIANTS",
     "SIZE_CLASS_VARIANTS",
     "Admission",
--- a/packages/policy/src/marjoramstep_policy/routing/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/routing/__init__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from .members import CallResult
+from .members import RouteChange
 from .members import RouteLoad
 from .members import RouteMember
 from .router import ROUTERS
@@ -15,6 +16,7 @@
 __all__ = [
     "ROUTERS",
     "CallResult",
+    "RouteChange",
     "RouteLoad",
     "RouteMember",
     "Router",
--- a/packages/policy/src/marjoramstep_policy/routing/members.py
+++ b/packages/policy/src/marjoramstep_policy/routing/members.py
@@ -55,6 +55,26 @@
     age_ms: float = 0.0
 
 
+@dataclass(frozen=True)
+class RouteChange:
+    """A change of what the router believes of a member, with what decided it.
+
+    :param suspended: whether regular traffic stops or starts again
+    :param latency_ms: latency of the member, or age of its oldest call if longer
+    :param reference_ms: median latency of the service
+    :param failures: failures in a row
+    :param in_flight: calls of this node that the member has not answered
+    """
+
+    server_id: ServerId
+    zone: ZoneName
+    suspended: bool
+    latency_ms: float
+    reference_ms: float
+    failures: int
+    in_flight: int
+
+
 @unique
 class CallResult(Enum):
     """How a call to a backend server ended, as far as routing is concerned."""
--- a/packages/policy/src/marjoramstep_policy/routing/router.py
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -11,6 +11,7 @@
 from marjoramstep_core.states import SizeClass
 
 from .members import CallResult
+from .members import RouteChange
 from .server_state import FAILURES_TO_SUSPEND
 from .server_state import LEAVING_MS
 from .server_state import NEW_RAMP_MS
@@ -21,6 +22,7 @@
 
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from collections.abc import Sequence
     from random import Random
 
@@ -57,9 +59,10 @@
     def __init__(self, clock: Clock, rng: Random, own_zone: ZoneName) -> None:
         self._clock = clock
         self._rng = rng
-        self._own_zone = own_zone
+        self.own_zone = own_zone
         self._groups: dict[ServiceName, ServiceGroup] = {}
         self._group_of: dict[ServerId, ServiceGroup] = {}
+        self.on_change: Callable[[RouteChange], None] = lambda _: None
 
     def update_members(
         self, service: ServiceName, members: Sequence[RouteMember]
@@ -76,7 +79,7 @@
         group = self._groups.get(service)
         is_first = group is None
         if group is None:
-            group = self._groups[service] = ServiceGroup(self._own_zone)
+            group = self._groups[service] = ServiceGroup(self.own_zone)
         previous = group.records
         group.records = {}
         for member in members:
@@ -292,9 +295,31 @@
     def _suspend(
         self, group: ServiceGroup, record: ServerRecord, now_ms: float
     ) -> None:
+        self._report(group, record, now_ms, suspended=True)
         record.suspend(now_ms, self._jitter())
         group.refresh(now_ms)
 
+    def _report(
+        self,
+        group: ServiceGroup,
+        record: ServerRecord,
+        now_ms: float,
+        *,
+        suspended: bool,
+    ) -> None:
+        member = record.member
+        self.on_change(
+            RouteChange(
+                member.server_id,
+                member.zone,
+                suspended,
+                record.observed_ms(now_ms) or 0.0,
+                group.reference_ms,
+                record.failures,
+                record.in_flight,
+            )
+        )
+
     def _finish_regular(
         self,
         group: ServiceGroup,
@@ -344,6 +369,7 @@
             return
         if record.finish_probe(is_good, now_ms, self._jitter()):
             record.recover(latency_ms, now_ms)
+            self._report(group, record, now_ms, suspended=False)
             group.refresh(now_ms)
 
 
