Judge servers by calls of like duration and sample other zones

Cause: a service that runs lookups of 40 ms and reports of 540 ms shows two latencies. The duration class learns a long row too late, after some twenty calls of it.

Change: only rows within a factor of two of the row that is called most judge a server; one call in two seconds goes to another zone, since otherwise a slow server of the own zone has nothing that it could be compared with.

--- a/features/policy/zone_first.feature
+++ b/features/policy/zone_first.feature
@@ -7,6 +7,11 @@
     When 100 calls of 50 ms arrive 20 ms apart
     Then all calls go to zone a
 
+  Scenario: Over a longer time one call in two seconds shows what other zones take
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    When 1000 calls of 50 ms arrive 20 ms apart
+    Then between 5 and 10 calls go to the other zones
+
   Scenario: Calls beyond the slots of the own zone go to the others
     Given a zone-first router with a server of 10 slots in each of the zones a, b and c
     When 20 calls arrive at once
--- a/features/steps/policy_zone_first_steps.py
+++ b/features/steps/policy_zone_first_steps.py
@@ -127,3 +127,9 @@
 @then('between {low:d} and {high:d} of them go to "{service}"')
 def step_between(context: Any, low: int, high: int, service: str) -> None:
     assert low <= context.chosen[service] <= high, context.chosen
+
+
+@then("between {low:d} and {high:d} calls go to the other zones")
+def step_samples(context: Any, low: int, high: int) -> None:
+    far = sum(context.zones.values()) - context.zones["a"]
+    assert low <= far <= high, context.zones
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.states import Reason
+from marjoramstep_core.states import SizeClass
 from marjoramstep_policy.routing import CallResult
+from marjoramstep_policy.routing import ComparableRows
 from marjoramstep_policy.routing import RouteLoad
 
 from ..calls import Answer
@@ -83,6 +85,7 @@
         self._size_classes = size_classes
         self._metrics = metrics
         self._log = log
+        self._comparable = ComparableRows()
         router.on_change = self._log_change
 
     async def dispatch(
@@ -186,7 +189,8 @@
         delegated = call.retry_tokens = allowance.delegate()
         call.started = False
         started_ms = self._clock.now_ms()
-        self._router.started(member.server_id, call.size_class)
+        size_class = self._routing_class(call)
+        self._router.started(member.server_id, size_class)
         self._metrics.count_event(
             "call in the own zone"
             if member.zone == self._router.own_zone
@@ -201,12 +205,23 @@
                 reply = await self._links.execute(address, call)
         finally:
             latency_ms = max(self._clock.now_ms() - started_ms, 0.0)
-            self._finish(call, member, latency_ms, reply)
+            self._finish(call, member, latency_ms, reply, size_class)
         allowance.give_back(reply.retry_tokens, delegated=delegated)
         return reply
 
+    def _routing_class(self, call: Call) -> SizeClass:
+        """Return ``LONG`` for a call that says nothing about the speed of a server."""
+        if self._comparable.is_comparable(call.service, call.row.name):
+            return call.size_class
+        return SizeClass.LONG
+
     def _finish(
-        self, call: Call, member: RouteMember, latency_ms: float, reply: Reply | None
+        self,
+        call: Call,
+        member: RouteMember,
+        latency_ms: float,
+        reply: Reply | None,
+        size_class: SizeClass,
     ) -> None:
         load = None
         if reply is not None and reply.load is not None:
@@ -217,10 +232,11 @@
                 call.row.name, call.service, reply.load, member.server_id
             )
         self._router.finished(
-            member.server_id, latency_ms, _call_result(reply), load, call.size_class
+            member.server_id, latency_ms, _call_result(reply), load, size_class
         )
         if isinstance(reply, Answer):
             self._size_classes.observe(call.row, latency_ms)
+            self._comparable.observe(call.service, call.row.name, latency_ms)
 
 
 def _has_reached_server(reply: Reply) -> bool:
--- a/packages/policy/src/marjoramstep_policy/routing/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from .comparable_rows import ComparableRows
 from .members import CallResult
 from .members import RouteChange
 from .members import RouteLoad
@@ -16,6 +17,7 @@
 __all__ = [
     "ROUTERS",
     "CallResult",
+    "ComparableRows",
     "RouteChange",
     "RouteLoad",
     "RouteMember",
--- a/packages/policy/src/marjoramstep_policy/routing/service_group.py
+++ b/packages/policy/src/marjoramstep_policy/routing/service_group.py
@@ -34,6 +34,7 @@
         "_refreshed_ms",
         "local",
         "next_refresh_ms",
+        "next_sample_ms",
         "ready",
         "records",
         "reference_ms",
@@ -54,6 +55,7 @@
         self.ready: list[ServerRecord] = []
         self.reference_ms = 0.0
         self.next_refresh_ms = 0.0
+        self.next_sample_ms = 0.0
         self._refreshed_ms = 0.0
 
     def refresh(self, now_ms: float) -> None:
--- a/packages/policy/src/marjoramstep_policy/routing/zone_first.py
+++ b/packages/policy/src/marjoramstep_policy/routing/zone_first.py
@@ -15,6 +15,11 @@
     from .service_group import ServiceGroup
 
 
+# At most one call in this time goes to another zone to show what it takes there.
+# Without it, nothing could be compared with a slow server in the own zone.
+SAMPLE_INTERVAL_MS = 2_000.0
+
+
 @ROUTERS.register("zone-first")
 class ZoneFirstRouter(Router):
     """Leaves the own zone only for a reason.
@@ -29,6 +34,13 @@
         self, group: ServiceGroup, excluded: frozenset[ServerId], now_ms: float
     ) -> ServerRecord | None:
         reference_ms = group.reference_ms
+        if group.local and group.remote and now_ms >= group.next_sample_ms:
+            is_first = group.next_sample_ms == 0.0
+            # Random, so that the nodes of a service do not sample together.
+            spread = 1.0 + 0.5 * self._rng.random()
+            group.next_sample_ms = now_ms + SAMPLE_INTERVAL_MS * spread
+            if not is_first:
+                return self._rng.choice(group.remote)
         near = self._draw(_left(group.local, excluded), now_ms, reference_ms)
         if near is not None and not near.is_pressed(now_ms):
             return near
