Tell callers of a node that starts when it will have its table

A node without a table told their clients to come back after 100 ms, which was too early for it, and a client comes back once.

Change: a refusal for want of a table or a member names 0.7 to 1.4 s, spread at random. Callers' connections also get the event loop from their listener.

Test: features/daemon/entry.feature, the last scenario; it failed before with 0 ms.

--- a/features/daemon/entry.feature
+++ b/features/daemon/entry.feature
@@ -56,3 +56,9 @@
       | has a row with a host    | confirmed now          | no-route |
       | has a row with a host    | never confirmed        | no-table |
       | has no row with a host   | confirmed now          | no-table |
+
+  # A client may return once. Too early, it is refused again while the node still starts.
+  Scenario: A node without a table sends callers away for the time of its start
+    Given an entry whose table has a row with a host and was never confirmed
+    When a request for an unknown host arrives
+    Then its sender is told to come back in 700 to 1400 ms
--- a/features/steps/daemon_unknown_host_steps.py
+++ b/features/steps/daemon_unknown_host_steps.py
@@ -57,3 +57,9 @@
 def step_reason(context: Any, reason: str) -> None:
     assert context.result.outcome is Outcome.NOT_RUN, context.result
     assert context.result.reply.reason.value == reason, context.result
+
+
+@then("its sender is told to come back in {least:d} to {most:d} ms")
+def step_return(context: Any, least: int, most: int) -> None:
+    wait_ms = context.result.reply.retry_after_ms
+    assert least <= wait_ms <= most, wait_ms
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -13,6 +13,7 @@
 from ..calls import Answer
 from ..calls import Failed
 from ..calls import Refused
+from ..retry_after import START_RETRY_AFTER
 
 
 if TYPE_CHECKING:
@@ -103,7 +104,11 @@
         may_have_run = False
         full_moves = 0
         sends = 0
-        reply: Reply = Refused(Reason.NO_SERVER, "no backend server is ready")
+        reply: Reply = Refused(
+            Reason.NO_SERVER,
+            "no backend server is ready",
+            retry_after_ms=START_RETRY_AFTER.next_ms(),
+        )
         while True:
             member = self._router.pick(call.service, excluded)
             if member is None:
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -18,6 +18,7 @@
 from ..calls import Call
 from ..calls import Failed
 from ..calls import Refused
+from ..retry_after import START_RETRY_AFTER
 from .key_history import KeyHistory
 from .outcome_log import OutcomeLog
 
@@ -345,7 +346,10 @@
 
 
 def _refused(reason: Reason, key: str, row_name: str) -> EntryResult:
-    return EntryResult(Refused(reason), Outcome.NOT_RUN, key, row_name)
+    refused = Refused(reason)
+    if reason is Reason.NO_TABLE:
+        refused.retry_after_ms = START_RETRY_AFTER.next_ms()
+    return EntryResult(refused, Outcome.NOT_RUN, key, row_name)
 
 
 def _weaken(result: EntryResult) -> None:
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -70,6 +70,7 @@
 class CallerConnection(BaseProtocol):
     """Owns one socket; answers leave in the order of their requests.
 
+    :param loop: the running event loop
     :param handle: carries one request out
     :param refuse: builds the answer to a request whose body breaks off
     :param limits: times that the caller may take
@@ -80,6 +81,7 @@
 
     def __init__(
         self,
+        loop: asyncio.AbstractEventLoop,
         handle: Callable[[HttpRequest], Awaitable[HttpAnswer]],
         refuse: Callable[[InvalidInputError], HttpAnswer],
         limits: ConnectionLimits,
@@ -87,7 +89,6 @@
         on_open: Callable[[CallerConnection], None],
         on_close: Callable[[CallerConnection], None],
     ) -> None:
-        loop = asyncio.get_running_loop()
         parser = HttpRequestParser(
             self,
             loop,
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -50,6 +50,7 @@
         log: EventLog,
         protocol: CallerProtocol | None = None,
     ) -> None:
+        self._loop = asyncio.get_running_loop()
         self._entry = entry
         self._tables = tables
         self._log = log
@@ -84,9 +85,8 @@
         :return: the bound address
         :raises OSError: if the address cannot be bound
         """
-        loop = asyncio.get_running_loop()
         host, port = address
-        self._listener = await loop.create_server(
+        self._listener = await self._loop.create_server(
             self._make_connection, host, port, backlog=BACKLOG
         )
         self._check_times()
@@ -108,9 +108,8 @@
         """Close all connections, those with an answer due after it."""
         for connection in list(self._connections):
             connection.close_when_idle()
-        loop = asyncio.get_running_loop()
-        until = loop.time() + SHUTDOWN_SECONDS
-        while self.has_unsent_answers() and loop.time() < until:
+        until = self._loop.time() + SHUTDOWN_SECONDS
+        while self.has_unsent_answers() and self._loop.time() < until:
             await asyncio.sleep(POLL_SECONDS)
         for connection in list(self._connections):
             connection.abort()
@@ -119,6 +118,7 @@
 
     def _make_connection(self) -> CallerConnection:
         return CallerConnection(
+            self._loop,
             self._handle,
             self._protocol.refuse,
             self._limits,
@@ -136,9 +136,8 @@
         self._connections.discard(connection)
 
     def _check_times(self) -> None:
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(CHECK_TIMES_SECONDS, self._check_times)
-        now = loop.time()
+        self._timer = self._loop.call_later(CHECK_TIMES_SECONDS, self._check_times)
+        now = self._loop.time()
         for connection in list(self._connections):
             connection.check_times(now)
 
