Spend resends of calls that were turned away by weight and progress

A chain with four such calls then hardly ever completes, the budget of second sends is used up by reads within seconds, and a request has only one or two resends left where its chain needs four.

Change: a call that was turned away has run nowhere and may be sent again to the same server once the servers of its row are used up; these resends have a budget of 17%, of which light calls and calls at the start of a chain may use a part; a request has ten resends over its chain. The breaker now opens only when nearly all is turned away: with half of it the last one would have held back calls that servers take.

--- /dev/null
+++ b/features/steps/policy_turned_away_steps.py
@@ -0,0 +1,105 @@
+"""Steps for calls that backend servers turn away."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_policy.retries import SERVICE_BUDGETS
+from marjoramstep_policy.retries import Resend
+
+
+SERVICE = ServiceName("progress")
+HEAVY = 900
+LIGHT = 700
+RESENDS_OF_A_CALL = 3
+RESENDS_OF_A_ROOT = 7
+MS_PER_SECOND = 1_000.0
+
+
+@given(
+    'a "{budget}" retry budget and roots with {calls:d} calls in a row to one service'
+)
+def step_budget(context: Any, budget: str, calls: int) -> None:
+    context.clock = ManualClock(1_000.0)
+    context.rng = random.Random(5)
+    context.budget = SERVICE_BUDGETS.get(budget)(context.clock)
+    context.calls_of_a_root = calls
+    context.is_told = True
+    context.firsts = 0
+    context.resends = 0
+
+
+@given("the budget is not told what speaks for a resend")
+def step_untold(context: Any) -> None:
+    context.is_told = False
+
+
+def _resend(context: Any, weight: int, done: int) -> Resend:
+    return Resend(weight, done > 0) if context.is_told else Resend(HEAVY, True)
+
+
+def _call(context: Any, weight: int, done: int, tokens: int) -> tuple[bool, int]:
+    """Make one call; return whether it ran and the tokens that are left."""
+    context.budget.record_first(SERVICE, weight)
+    context.firsts += 1
+    for _ in range(RESENDS_OF_A_CALL):
+        if context.rng.random() < 0.5:
+            return True, tokens
+        resend = _resend(context, weight, done)
+        if not tokens or not context.budget.try_resend(SERVICE, resend):
+            return False, tokens
+        tokens -= 1
+        context.resends += 1
+    return context.rng.random() < 0.5, tokens
+
+
+def _completes(context: Any, weight: int) -> bool:
+    tokens = RESENDS_OF_A_ROOT
+    for done in range(context.calls_of_a_root):
+        ran, tokens = _call(context, weight, done, tokens)
+        if not ran:
+            return False
+    return True
+
+
+@when(
+    "for {seconds:d} s {heavy:d} heavy and {light:d} light roots a second find half of "
+    "their calls turned away"
+)
+def step_roots(context: Any, seconds: int, heavy: int, light: int) -> None:
+    weights = [HEAVY] * heavy + [LIGHT] * light
+    context.heavy_roots = heavy * seconds
+    context.heavy_completed = 0
+    for _ in range(seconds):
+        context.rng.shuffle(weights)
+        for weight in weights:
+            context.clock.advance_ms(MS_PER_SECOND / len(weights))
+            completed = _completes(context, weight)
+            context.heavy_completed += completed and weight == HEAVY
+
+
+@then("more than {percent:d} percent of the heavy roots complete")
+def step_more(context: Any, percent: int) -> None:
+    found = 100.0 * context.heavy_completed / context.heavy_roots
+    assert found > percent, found
+
+
+@then("less than {percent:d} percent of the heavy roots complete")
+def step_less(context: Any, percent: int) -> None:
+    found = 100.0 * context.heavy_completed / context.heavy_roots
+    assert found < percent, found
+
+
+@then(
+    "the service gets {verdict} than {percent:d} percent of its calls, and {slack:d}, "
+    "again"
+)
+def step_bound(context: Any, verdict: str, percent: int, slack: int) -> None:
+    is_within = context.resends <= context.firsts * percent / 100 + slack
+    assert is_within == (verdict == "no more"), (context.resends, context.firsts)
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.states import Reason
 from marjoramstep_core.states import SizeClass
+from marjoramstep_policy.retries import Resend
 from marjoramstep_policy.routing import CallResult
 from marjoramstep_policy.routing import ComparableRows
 from marjoramstep_policy.routing import RouteLoad
@@ -43,6 +46,9 @@
 FAILURES_TO_RETRY = frozenset({Reason.CONNECTION_LOST})
 # A refusal by a node costs the way there, but no backend server has seen the call.
 FULL_MOVE_LIMIT = 3
+# Sends beyond the attempts of the row for a call that backend servers turned away: it
+# has run nowhere.
+TURNED_AWAY_RESENDS = 2
 
 
 class Dispatcher:
@@ -99,60 +105,43 @@
         :return: the last reply, and whether an earlier attempt may have run
         """
         await self._members.ensure(call.service, call.deadline_ms)
-        self._budget.record_first(call.service)
-        excluded: frozenset[ServerId] = frozenset()
-        may_have_run = False
-        full_moves = 0
-        sends = 0
+        self._budget.record_first(call.service, call.weight)
+        course = _Course()
         reply: Reply = Refused(
             Reason.NO_SERVER,
             "no backend server is ready",
             retry_after_ms=START_RETRY_AFTER.next_ms(),
         )
-        while True:
-            member = self._router.pick(call.service, excluded)
-            if member is None:
-                return reply, may_have_run
+        member = self._router.pick(call.service, course.excluded)
+        while member is not None:
             reply = await self._attempt(call, member, allowance)
             if isinstance(reply, Answer):
-                return reply, may_have_run
-            is_full = reply.reason in FULL_REASONS
-            if is_full and full_moves >= FULL_MOVE_LIMIT:
-                return reply, may_have_run
-            sends += _has_reached_server(reply)
-            if not self._may_retry(call, reply, allowance, sends):
-                return reply, may_have_run
+                break
+            course.note(member, reply)
+            if not self._may_retry(call, reply, allowance, course):
+                break
             call.body.restart()
-            full_moves += is_full
-            may_have_run = may_have_run or isinstance(reply, Failed)
-            excluded |= {member.server_id}
+            if not _stays(call, reply, course):
+                member = self._router.pick(call.service, course.excluded)
+        return reply, course.may_have_run
 
     def _may_retry(
-        self, call: Call, reply: Reply, allowance: RetryAllowance, sends: int
+        self,
+        call: Call,
+        reply: Refused | Failed,
+        allowance: RetryAllowance,
+        course: _Course,
     ) -> bool:
-        if isinstance(reply, Failed):
-            is_useful = (
-                call.row.repeatable
-                and not reply.crash_suspect
-                and reply.reason in FAILURES_TO_RETRY
-            )
-        else:
-            is_useful = reply.reason in LEAVING_REASONS | FULL_REASONS
-        if not is_useful or not call.body.can_restart:
-            return False
-        if isinstance(reply, Failed) and not call.body.is_complete:
-            # The former run may still be reading the parts of a streamed body.
-            return False
-        if self._clock.now_ms() >= call.deadline_ms:
+        if not _is_useful(call, reply) or self._clock.now_ms() >= call.deadline_ms:
             return False
         if isinstance(reply, Refused) and not reply.reached_server:
-            # Nothing reached a backend server, so this is no second send.
-            self._metrics.count_event("moved on")
-            self._log_move("call moved on", call, reply)
-            return True
-        if allowance.held == 0 or sends >= call.row.attempts:
+            return self._may_move_on(call, reply, course)
+        limit = call.row.attempts
+        if isinstance(reply, Refused):
+            limit += TURNED_AWAY_RESENDS
+        if allowance.held == 0 or course.sends >= limit:
             return False
-        if not self._budget.try_spend(call.service):
+        if not self._spend(call, reply):
             self._metrics.count_event("retry over service budget")
             self._log_move("second send refused by the budget", call, reply)
             return False
@@ -160,6 +149,22 @@
         self._log_move("call sent again", call, reply)
         return allowance.take()
 
+    def _may_move_on(self, call: Call, reply: Refused, course: _Course) -> bool:
+        """Tell whether another member may be asked; nothing has been sent yet."""
+        if course.full_moves > FULL_MOVE_LIMIT:
+            return False
+        if len(course.reached) >= call.row.attempts:
+            return False
+        self._metrics.count_event("moved on")
+        self._log_move("call moved on", call, reply)
+        return True
+
+    def _spend(self, call: Call, reply: Refused | Failed) -> bool:
+        if isinstance(reply, Failed):
+            return self._budget.try_spend(call.service)
+        resend = Resend(call.weight, call.is_paid_for)
+        return self._budget.try_resend(call.service, resend)
+
     def _log_move(self, decision: str, call: Call, reply: Reply) -> None:
         assert reply.reason is not None
         load = reply.load
@@ -244,8 +249,60 @@
             self._comparable.observe(call.service, call.row.name, latency_ms)
 
 
-def _has_reached_server(reply: Reply) -> bool:
-    return not isinstance(reply, Refused) or reply.reached_server
+@dataclass(slots=True)
+class _Course:
+    """What became of the attempts at one call so far.
+
+    :param reached: backend servers that the call was sent to
+    :param sends: how often it was sent to one of them
+    :param full_moves: refusals by nodes whose backend server is full
+    """
+
+    excluded: frozenset[ServerId] = frozenset()
+    reached: set[ServerId] = field(default_factory=set)
+    sends: int = 0
+    full_moves: int = 0
+    may_have_run: bool = False
+
+    def note(self, member: RouteMember, reply: Refused | Failed) -> None:
+        self.excluded |= {member.server_id}
+        if isinstance(reply, Failed):
+            self.may_have_run = True
+        elif not reply.reached_server:
+            self.full_moves += reply.reason in FULL_REASONS
+            return
+        self.reached.add(member.server_id)
+        self.sends += 1
+
+
+def _is_useful(call: Call, reply: Refused | Failed) -> bool:
+    """Tell whether another attempt is safe and may end better."""
+    if not call.body.can_restart:
+        return False
+    if isinstance(reply, Refused):
+        return reply.reason in LEAVING_REASONS | FULL_REASONS
+    if not call.body.is_complete:
+        # The former run may still be reading the parts of a streamed body.
+        return False
+    return (
+        call.row.repeatable
+        and not reply.crash_suspect
+        and reply.reason in FAILURES_TO_RETRY
+    )
+
+
+def _stays(call: Call, reply: Refused | Failed, course: _Course) -> bool:
+    """Tell whether the next attempt goes to the same backend server.
+
+    One that turns away a part of its requests may well take the next one, and a further
+    server would be one more than the row allows.
+    """
+    return (
+        isinstance(reply, Refused)
+        and reply.reached_server
+        and reply.reason in FULL_REASONS
+        and len(course.reached) >= call.row.attempts
+    )
 
 
 def parse_address(text: str) -> tuple[str, int]:
--- a/packages/platform/src/marjoramstep_platform/configuration.py
+++ b/packages/platform/src/marjoramstep_platform/configuration.py
@@ -28,7 +28,7 @@
 QUEUE_LENGTH = 10_000
 MAXIMUM_ATTEMPTS = 11
 # Second sends of one request over its whole chain of calls.
-CHAIN_RETRIES = 4
+CHAIN_RETRIES = 10
 DEFAULT_BODY_LIMIT_BYTES = 64 * 1024 * 1024
 _VERSION = re.compile(r"[0-9a-fA-F]{8}")
 
--- a/packages/policy/src/marjoramstep_policy/admission/shed_breaker.py
+++ b/packages/policy/src/marjoramstep_policy/admission/shed_breaker.py
@@ -15,12 +15,13 @@
 
 # Weight of the last outcome in the share of requests that were turned away.
 SMOOTHING = 0.1
-# Share above which the breaker opens: seven in a row after a calm time do it.
-OPEN_SHARE = 0.5
-# Share with which it closes, so that two further refusals open it again.
-CLOSED_SHARE = 0.4
+# Share above which the breaker opens: 22 in a row after a calm time do it. A backend
+# server that takes a part of its requests stays in use.
+OPEN_SHARE = 0.9
+# Share with which it closes, so that few further refusals open it again.
+CLOSED_SHARE = 0.8
 FIRST_PAUSE_MS = 50.0
-MAX_PAUSE_MS = 400.0
+MAX_PAUSE_MS = 500.0
 # Pauses are spread by this share in both directions.
 PAUSE_JITTER = 0.25
 
--- a/packages/policy/src/marjoramstep_policy/retries/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/retries/__init__.py
@@ -8,6 +8,7 @@
 from .resend_ledger import ResendLedger
 from .resend_ledger import ResendVerdict
 from .service_budget import SERVICE_BUDGETS
+from .service_budget import Resend
 from .service_budget import ServiceRetryBudget
 
 
@@ -15,6 +16,7 @@
     "ALLOWANCES",
     "RESEND_LEDGERS",
     "SERVICE_BUDGETS",
+    "Resend",
     "ResendLedger",
     "ResendVerdict",
     "RetryAllowance",
--- a/packages/policy/src/marjoramstep_policy/retries/service_budget.py
+++ b/packages/policy/src/marjoramstep_policy/retries/service_budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.registry import Registry
@@ -15,10 +16,37 @@
 BUCKETS = 20
 BUCKET_MS = WINDOW_MS / BUCKETS
 RETRY_SHARE = 0.1
+# A call that a backend server turned away made no calls of its own, so that sending it
+# again multiplies nothing further down.
+REFUSED_SHARE = 0.17
 # Lets a service with little traffic retry at all.
 RETRY_FLOOR = 3
 MAX_SERVICES = 1024
 
+
+@dataclass(frozen=True)
+class Resend:
+    """A call that a backend server has turned away.
+
+    :param weight: weight of its root
+    :param is_paid_for: whether earlier calls of the same parent have succeeded, whose
+        work is lost if this one fails
+    """
+
+    weight: int
+    is_paid_for: bool
+
+
+# Parts of the budget that a resend may use, by whether it has the highest weight among
+# the calls to the service and whether its parent has made calls with success. The rest
+# stays for resends that matter more, since a shortage lasts longer than the budget.
+RESEND_PARTS = {
+    (True, True): 1.0,
+    (True, False): 0.7,
+    (False, True): 0.5,
+    (False, False): 0.25,
+}
+
 SERVICE_BUDGETS: Registry[type[ServiceRetryBudget]] = Registry("service retry budget")
 
 
@@ -30,11 +58,12 @@
     exact window and not only on average.
     """
 
-    __slots__ = ("firsts", "last_tick", "retries")
+    __slots__ = ("firsts", "last_tick", "retries", "weights")
 
     def __init__(self, tick: int) -> None:
         self.firsts = [0] * (BUCKETS + 1)
         self.retries = [0] * (BUCKETS + 1)
+        self.weights = [0] * (BUCKETS + 1)
         self.last_tick = tick
 
     def advance(self, tick: int) -> int:
@@ -45,13 +74,27 @@
         ):
             self.firsts[passed % (BUCKETS + 1)] = 0
             self.retries[passed % (BUCKETS + 1)] = 0
+            self.weights[passed % (BUCKETS + 1)] = 0
         self.last_tick = tick
         return tick % (BUCKETS + 1)
 
+    def try_spend(self, tick: int, share: float) -> bool:
+        """Count a retry if it stays within a share of the first attempts."""
+        index = self.advance(tick)
+        oldest = (index + 1) % (BUCKETS + 1)
+        firsts = sum(self.firsts) - self.firsts[oldest]
+        if sum(self.retries) + 1 > max(RETRY_FLOOR, share * firsts):
+            return False
+        self.retries[index] += 1
+        return True
+
 
 @SERVICE_BUDGETS.register("share")
 class ServiceRetryBudget:
-    """Holds retries to a service under 10% of first attempts in 10 s, at least 3.
+    """Holds retries to a service under a share of first attempts in 10 s, at least 3.
+
+    The share is 10% for calls that may have run and 17% for calls that a backend server
+    turned away; both count together.
 
     A service that was idle for a whole window is forgotten. Beyond ``MAX_SERVICES``
     busy services, further ones get no retries; first attempts are never held back.
@@ -63,33 +106,44 @@
         self._clock = clock
         self._windows: dict[ServiceName, _Window] = {}
 
-    def record_first(self, service: ServiceName) -> None:
+    def record_first(self, service: ServiceName, weight: int = 0) -> None:
         """Count a first attempt.
 
         :param service: the service called
+        :param weight: weight of the root
         """
         tick = self._tick()
         window = self._window(service, tick)
         if window is not None:
-            window.firsts[window.advance(tick)] += 1
+            index = window.advance(tick)
+            window.firsts[index] += 1
+            window.weights[index] = max(window.weights[index], weight)
 
     def try_spend(self, service: ServiceName) -> bool:
-        """Count a retry if the budget allows it.
+        """Count a retry of a call that may have run if the budget allows it.
 
         :param service: the service called
         :return: whether the retry may be made
         """
         tick = self._tick()
         window = self._window(service, tick)
+        return window is not None and window.try_spend(tick, RETRY_SHARE)
+
+    def try_resend(self, service: ServiceName, resend: Resend) -> bool:
+        """Count a resend of a call that was turned away if the budget allows it.
+
+        :param service: the service called
+        :param resend: what speaks for it
+        :return: whether the resend may be made
+        """
+        tick = self._tick()
+        window = self._window(service, tick)
         if window is None:
             return False
-        index = window.advance(tick)
-        oldest = (index + 1) % (BUCKETS + 1)
-        firsts = sum(window.firsts) - window.firsts[oldest]
-        if sum(window.retries) + 1 > max(RETRY_FLOOR, RETRY_SHARE * firsts):
-            return False
-        window.retries[index] += 1
-        return True
+        window.advance(tick)
+        is_heaviest = resend.weight >= max(window.weights)
+        part = RESEND_PARTS[is_heaviest, resend.is_paid_for]
+        return window.try_spend(tick, REFUSED_SHARE * part)
 
     def tracked_services(self) -> int:
         """Return how many services have a window.
@@ -125,7 +179,7 @@
 class UnlimitedServiceBudget(ServiceRetryBudget):
     """Baseline: every retry is allowed."""
 
-    def record_first(self, service: ServiceName) -> None:
+    def record_first(self, service: ServiceName, weight: int = 0) -> None:
         """Count nothing."""
 
     def try_spend(self, service: ServiceName) -> bool:
@@ -134,3 +188,10 @@
         :return: always true
         """
         return True
+
+    def try_resend(self, service: ServiceName, resend: Resend) -> bool:
+        """Allow the resend.
+
+        :return: always true
+        """
+        return True
