Take only small calls of usual rows as samples of other zones

Cause: the sample of another zone could be a call with a long body.

Change: a call is a sample only if its body has at most 4 KiB and its row is comparable, since the latency of others judges no server.

Test: features/policy/zone_first.feature.

--- a/features/policy/zone_first.feature
+++ b/features/policy/zone_first.feature
@@ -12,6 +12,12 @@
     When 1000 calls of 50 ms arrive 20 ms apart
     Then between 5 and 10 calls go to the other zones
 
+  Scenario: A call with a long body is no sample
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    When the calls have long bodies or durations that are not comparable
+    And 1000 calls of 50 ms arrive 20 ms apart
+    Then all calls go to zone a
+
   Scenario: Calls beyond the slots of the own zone go to the others
     Given a zone-first router with a server of 10 slots in each of the zones a, b and c
     When 20 calls arrive at once
--- a/features/steps/policy_comparable_rows_steps.py
+++ b/features/steps/policy_comparable_rows_steps.py
@@ -80,8 +80,9 @@
 
 def _start(context: Any, row: RowName, mean_ms: float, running: list[Any]) -> None:
     now_ms = context.clock.now_ms()
-    member = context.router.pick(SERVICE, NEVER)
     size_class = _class_of(context, row)
+    may_sample = size_class is SizeClass.SHORT
+    member = context.router.pick(SERVICE, NEVER, may_sample=may_sample)
     context.router.started(member.server_id, size_class)
     duration_ms = mean_ms * context.rng.uniform(0.6, 1.4)
     if member.zone == OWN_ZONE and now_ms >= context.slow_from_ms:
--- a/features/steps/policy_zone_first_steps.py
+++ b/features/steps/policy_zone_first_steps.py
@@ -42,7 +42,7 @@
 
 
 def _pick(context: Any) -> RouteMember:
-    member = context.router.pick(SERVICE, NEVER)
+    member = context.router.pick(SERVICE, NEVER, may_sample=context.may_sample)
     assert member is not None
     context.router.started(member.server_id)
     context.zones[member.zone] += 1
@@ -56,6 +56,7 @@
 def step_router(context: Any, slots: int) -> None:
     context.clock = ManualClock(100_000.0)
     context.zones = Counter()
+    context.may_sample = True
     context.router = ROUTERS.get("zone-first")(
         context.clock, random.Random(3), ZoneName("a")
     )
@@ -133,3 +134,8 @@
 def step_samples(context: Any, low: int, high: int) -> None:
     far = sum(context.zones.values()) - context.zones["a"]
     assert low <= far <= high, context.zones
+
+
+@when("the calls have long bodies or durations that are not comparable")
+def step_no_samples(context: Any) -> None:
+    context.may_sample = False
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -49,6 +49,8 @@
 # Sends beyond the attempts of the row for a call that backend servers turned away: it
 # has run nowhere.
 TURNED_AWAY_RESENDS = 2
+# A longer body would cost more on its way to another zone than its latency is worth.
+SAMPLE_BODY_LIMIT_BYTES = 4_096
 
 
 class Dispatcher:
@@ -112,7 +114,9 @@
             "no backend server is ready",
             retry_after_ms=START_RETRY_AFTER.next_ms(),
         )
-        member = self._router.pick(call.service, course.excluded)
+        member = self._router.pick(
+            call.service, course.excluded, may_sample=self._may_sample(call)
+        )
         while member is not None:
             reply = await self._attempt(call, member, allowance)
             if isinstance(reply, Answer):
@@ -219,6 +223,10 @@
         allowance.give_back(reply.retry_tokens, delegated=delegated)
         return reply
 
+    def _may_sample(self, call: Call) -> bool:
+        is_small = 0 <= call.body.length <= SAMPLE_BODY_LIMIT_BYTES
+        return is_small and self._routing_class(call) is SizeClass.SHORT
+
     def _routing_class(self, call: Call) -> SizeClass:
         """Return ``LONG`` for a call that says nothing about the speed of a server."""
         if self._comparable.is_comparable(call.service, call.row.name):
--- a/packages/policy/src/marjoramstep_policy/routing/router.py
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -100,12 +100,17 @@
         group.refresh(now_ms)
 
     def pick(
-        self, service: ServiceName, excluded: frozenset[ServerId]
+        self,
+        service: ServiceName,
+        excluded: frozenset[ServerId],
+        *,
+        may_sample: bool = False,
     ) -> RouteMember | None:
         """Choose a backend server.
 
         :param service: name of the service
         :param excluded: servers that must not be chosen, such as those tried before
+        :param may_sample: whether the call is small and its latency is comparable
         :return: a ready member, or ``None`` if none is left
         """
         group = self._groups.get(service)
@@ -378,7 +383,11 @@
     """Baseline: each ready member is equally likely."""
 
     def pick(
-        self, service: ServiceName, excluded: frozenset[ServerId]
+        self,
+        service: ServiceName,
+        excluded: frozenset[ServerId],
+        *,
+        may_sample: bool = False,
     ) -> RouteMember | None:
         """Choose a ready member at random.
 
--- a/packages/policy/src/marjoramstep_policy/routing/zone_first.py
+++ b/packages/policy/src/marjoramstep_policy/routing/zone_first.py
@@ -10,7 +10,9 @@
 
 if TYPE_CHECKING:
     from marjoramstep_core.ids import ServerId
+    from marjoramstep_core.ids import ServiceName
 
+    from .members import RouteMember
     from .server_state import ServerRecord
     from .service_group import ServiceGroup
 
@@ -30,17 +32,41 @@
     lowest score of all zones is used.
     """
 
+    def pick(
+        self,
+        service: ServiceName,
+        excluded: frozenset[ServerId],
+        *,
+        may_sample: bool = False,
+    ) -> RouteMember | None:
+        """Choose a backend server, now and then one of another zone as a sample.
+
+        :param service: name of the service
+        :param excluded: servers that must not be chosen, such as those tried before
+        :param may_sample: whether the call is small and its latency is comparable
+        :return: a ready member, or ``None`` if none is left
+        """
+        if may_sample and not excluded:
+            group = self._groups.get(service)
+            sampled = None if group is None else self._sample(group)
+            if sampled is not None:
+                return sampled.member
+        return super().pick(service, excluded)
+
+    def _sample(self, group: ServiceGroup) -> ServerRecord | None:
+        now_ms = self._clock.now_ms()
+        if not group.local or not group.remote or now_ms < group.next_sample_ms:
+            return None
+        is_first = group.next_sample_ms == 0.0
+        # Random, so that the nodes of a service do not sample together.
+        spread = 1.0 + 0.5 * self._rng.random()
+        group.next_sample_ms = now_ms + SAMPLE_INTERVAL_MS * spread
+        return None if is_first else self._rng.choice(group.remote)
+
     def _choose(
         self, group: ServiceGroup, excluded: frozenset[ServerId], now_ms: float
     ) -> ServerRecord | None:
         reference_ms = group.reference_ms
-        if group.local and group.remote and now_ms >= group.next_sample_ms:
-            is_first = group.next_sample_ms == 0.0
-            # Random, so that the nodes of a service do not sample together.
-            spread = 1.0 + 0.5 * self._rng.random()
-            group.next_sample_ms = now_ms + SAMPLE_INTERVAL_MS * spread
-            if not is_first:
-                return self._rng.choice(group.remote)
         near = self._draw(_left(group.local, excluded), now_ms, reference_ms)
         if near is not None and not near.is_pressed(now_ms):
             return near
