Print why steps of the tests failed

The progress format names failed scenarios only, so the messages of scenarios that fail beside load were lost. They are now printed from behave's report.

--- a/.ci/run_tests.py
+++ b/.ci/run_tests.py
@@ -17,6 +17,8 @@
 
 PARALLEL_RUNS = 4
 SLOW_FOLDERS = frozenset({"control", "daemon", "consensus", "replay", "docs"})
+# Last lines of the message of a failed step that are printed.
+MESSAGE_LINES = 30
 FAILED_STATES = frozenset({"failed", "error", "undefined", "hook_error", "untested"})
 
 
@@ -38,6 +40,26 @@
     return counts
 
 
+def failure_messages(report_path: Path) -> str:
+    """Return why steps failed, which the progress format does not tell.
+
+    :param report_path: JSON report of behave
+    :return: lines of text, empty if nothing failed
+    """
+    lines: list[str] = []
+    for feature in json.loads(report_path.read_text(encoding="utf-8")):
+        for element in feature.get("elements", []):
+            for step in element.get("steps", []):
+                message = step.get("result", {}).get("error_message")
+                if not message:
+                    continue
+                if isinstance(message, str):
+                    message = message.splitlines()
+                lines.append(f"{element['location']}: {step['name']}")
+                lines += [f"    {line}" for line in message[-MESSAGE_LINES:]]
+    return "".join(f"{line}\n" for line in lines)
+
+
 def run_behave(paths: list[str]) -> tuple[int, str, Counter[str]]:
     """Run behave on some features.
 
@@ -58,7 +80,8 @@
         )
         if not report_path.exists():
             return 1, done.stdout, Counter()
-        return done.returncode, done.stdout, count_scenarios(report_path)
+        output = done.stdout + failure_messages(report_path)
+        return done.returncode, output, count_scenarios(report_path)
 
 
 def feature_folders() -> list[list[str]]:
