Wait until the router uses a store before freezing its node

On a busy machine the router may have suspended the store whose node is stopped, so that no call goes there.

Change: the scenario first calls until the store has served five calls, more than the three probes of a suspended one. What it checks afterwards is unchanged.

--- a/features/steps/daemon_failures_steps.py
+++ b/features/steps/daemon_failures_steps.py
@@ -27,6 +27,9 @@
 UPLOAD = random.Random(3).randbytes(3_000_000)
 DOWNLOAD_BYTES = 20_000_000
 SIGNAL_MARGIN_MS = 100.0
+# More than the good probes after which a suspended backend server is used again.
+CALLS_OF_A_USED_STORE = 5
+USED_WAIT_MS = 30_000.0
 # The news of a quarantine must be in force everywhere within seconds.
 QUARANTINE_WAIT_MS = 5_000.0
 
@@ -77,6 +80,20 @@
     )
 
 
+async def _wait_until_used(bench: Bench, store: str) -> None:
+    """Call until the router gives a store regular traffic.
+
+    On a busy machine it may have suspended the store, which then gets probes only.
+    """
+    served = 0
+    deadline_ms = CLOCK.now_ms() + USED_WAIT_MS
+    while served < CALLS_OF_A_USED_STORE:
+        assert CLOCK.now_ms() < deadline_ms, f"{store} gets no calls"
+        key = new_key()
+        await bench.call(GATE, "store", "/", key=key, data=b"1", deadline_ms=4_000)
+        served += any(run.server == store for run in bench.runs(key))
+
+
 async def _settle(bench: Bench, key: str, deadline_ms: float = 4_000) -> Reply:
     return await bench.call(
         GATE, "store", "/slow", key=key, data=b"1", deadline_ms=deadline_ms
@@ -152,7 +169,9 @@
     async def scenario() -> None:
         # The first store may be the one that the scenario before froze; the router
         # avoids it for a while.
-        node = f"node-{_running_store(bench, last=True)}"
+        store = _running_store(bench, last=True)
+        node = f"node-{store}"
+        await _wait_until_used(bench, store)
         bench.signal(node, signal.SIGSTOP)
         keys = [new_key() for _ in range(40)]
         try:
