Add a soak with faults drawn at random

A generator draws crashes, freezes and slowdowns of nodes, backend servers and replicas from a seed; the command soak plays seeds one after the other against real processes and checks the promises of every replay (at most one run, not run is true, retries within the row's number, own answers).

--- a/features/replay/generators.feature
+++ b/features/replay/generators.feature
@@ -18,6 +18,8 @@
       | regulator | swing        | no     |
       | regulator | uploads      | no     |
       | regulator | slow-servers | yes    |
+      | atelier   | soak         | yes    |
+      | regulator | soak         | yes    |
 
   Scenario: The sizes are those of the requirements at full scale
     Then at full scale the "atelier" has archive 4 x 120, status 4 x 50
--- a/features/steps/replay_generators_steps.py
+++ b/features/steps/replay_generators_steps.py
@@ -50,7 +50,10 @@
     for request in trace.requests:
         row = matcher.match(request.service, request.method, request.path)
         assert row.name != "default", request
-    targets = {n for s in deployment.services for n in s.server_names()}
+    servers = {n for s in deployment.services for n in s.server_names()}
+    nodes = {f"node-{name}" for name in servers}
+    replicas = {f"replica-{number + 1}" for number in range(deployment.replicas)}
+    targets = servers | nodes | replicas
     assert {fault.target for fault in trace.faults} <= targets, trace.faults
 
 
--- a/packages/replay/src/marjoramstep_replay/__main__.py
+++ b/packages/replay/src/marjoramstep_replay/__main__.py
@@ -11,6 +11,7 @@
 from .commands.generate import generate_trace
 from .commands.latency import latency
 from .commands.replay import replay_trace
+from .commands.soak import soak
 
 
 INVALID_STATUS = 2
@@ -28,6 +29,7 @@
         "generate": generate_trace,
         "latency": latency,
         "replay": replay_trace,
+        "soak": soak,
     }
     try:
         return int(defopt.run(functions, argv=arguments))
--- a/packages/replay/src/marjoramstep_replay/generators/generate.py
+++ b/packages/replay/src/marjoramstep_replay/generators/generate.py
@@ -13,6 +13,7 @@
 from ..trace import write_trace
 from . import atelier as atelier
 from . import regulator as regulator
+from . import soak as soak
 from .measures import MEASURES
 from .sizing import Scale
 from .sizing import SizedWorkload
@@ -31,7 +32,8 @@
     """Options of a generator.
 
     :param workload: ``atelier`` or ``regulator``
-    :param measure: ``overload``, ``swing``, ``uploads`` or ``slow-servers``
+    :param measure: ``overload``, ``swing``, ``uploads``, ``slow-servers`` or
+        ``soak``
     :param output: folder that takes the files
     :param seed: seed of all random choices
     :param duration_ms: length of the trace
--- a/packages/replay/src/marjoramstep_replay/generators/measures.py
+++ b/packages/replay/src/marjoramstep_replay/generators/measures.py
@@ -60,7 +60,7 @@
 )
 
 
-def _base_load(
+def base_load(
     sized: SizedWorkload,
     rng: Random,
     duration_ms: float,
@@ -68,6 +68,16 @@
     load: Callable[[float], float],
     retries: int = 0,
 ) -> list[TraceRequest]:
+    """Draw requests of all flows.
+
+    :param sized: the workload
+    :param rng: source of randomness
+    :param duration_ms: length of the trace
+    :param peak_load: highest load as a share of the capacity
+    :param load: load at a time in milliseconds, as a share of the capacity
+    :param retries: resends by each client
+    :return: requests in order of time
+    """
     capacity = sized.scale.capacity_per_s
     times = poisson_times(
         rng, duration_ms, peak_load * capacity, lambda at_ms: load(at_ms) * capacity
@@ -99,7 +109,7 @@
     deep = sized.workload.deep_service
     important = list(sized.workload.important)
     return Scenario(
-        _base_load(sized, rng, duration_ms, 2.0, load, retries=4),
+        base_load(sized, rng, duration_ms, 2.0, load, retries=4),
         [_slow(name, start_ms, length_ms, 4.0) for name in sized.server_names(deep)],
         [
             {"kind": "goodput-share", "groups": important, "minimum": 0.9},
@@ -132,7 +142,7 @@
 
     important = list(sized.workload.important)
     return Scenario(
-        _base_load(sized, rng, duration_ms, 1.5, load, retries=1),
+        base_load(sized, rng, duration_ms, 1.5, load, retries=1),
         [],
         [
             {"kind": "goodput-share", "groups": important, "minimum": 0.97},
@@ -153,7 +163,7 @@
     :param duration_ms: length of the trace
     :return: the scenario; each burst has twice as many uploads as the service has slots
     """
-    requests = _base_load(sized, rng, duration_ms, 0.4, lambda _: 0.4)
+    requests = base_load(sized, rng, duration_ms, 0.4, lambda _: 0.4)
     upload = sized.workload.upload
     service = sized.workload.service(upload.service)
     burst = UPLOADS_PER_SLOT * sized.servers(service) * sized.slots(service)
@@ -192,7 +202,7 @@
             at_ms = start * duration_ms + rng.uniform(0.0, 0.05 * duration_ms)
             faults.append(_slow(target, at_ms, 0.15 * duration_ms, 10.0))
     return Scenario(
-        _base_load(sized, rng, duration_ms, 0.5, lambda _: 0.5),
+        base_load(sized, rng, duration_ms, 0.5, lambda _: 0.5),
         faults,
         [
             {"kind": "goodput-share", "minimum": 0.97},
