Keep calls in their zone where the other zones are pressed as much

While all members of a service are near their limits, a call went to whichever score was lower, so that most calls changed zones for nothing.

Test: features/policy/zone_first.feature, which failed before.

--- a/features/policy/zone_first.feature
+++ b/features/policy/zone_first.feature
@@ -35,6 +35,13 @@
     When 4 calls of 50 ms arrive 20 ms apart
     Then no call goes to zone a
 
+  # Moving calls between zones that are all full gains nothing and costs their bytes.
+  Scenario: Where all servers are full and alike, a call stays in its zone
+    Given a zone-first router with a server of 10 slots in each of the zones a, b and c
+    And all servers have just reported 10 running and 0 waiting calls after 40 to 60 ms
+    When 1 calls of 50 ms arrive 20 ms apart
+    Then all calls go to zone a
+
   Scenario Outline: A split keeps its shares over any number of requests
     When <count> requests choose among the targets "archive:90,panels:10"
     Then between <low> and <high> of them go to "panels"
--- a/features/steps/policy_zone_first_steps.py
+++ b/features/steps/policy_zone_first_steps.py
@@ -26,6 +26,8 @@
 SERVICE = ServiceName("archive")
 NEVER = frozenset[ServerId]()
 IDLE = RouteLoad(0, 10, 0)
+# After so many, the mean of a server is near its latency.
+ANSWERS_FOR_A_MEAN = 8
 
 
 def _member(zone: str, slots: int) -> RouteMember:
@@ -74,6 +76,25 @@
     context.router.finished(ServerId("s-a"), 1.0, CallResult.ANSWERED, load)
 
 
+@given(
+    "all servers have just reported {running:d} running and {waiting:d} waiting calls "
+    "after {least:d} to {most:d} ms"
+)
+def step_all_full(
+    context: Any, running: int, waiting: int, least: int, most: int
+) -> None:
+    # The own zone is the slowest, but not by much.
+    latencies = {"a": most, "b": least, "c": least}
+    load = RouteLoad(running, running, waiting)
+    for zone in list(latencies) * ANSWERS_FOR_A_MEAN:
+        latency_ms = float(latencies[zone])
+        context.router.started(ServerId(f"s-{zone}"))
+        context.clock.advance_ms(latency_ms)
+        context.router.finished(
+            ServerId(f"s-{zone}"), latency_ms, CallResult.ANSWERED, load
+        )
+
+
 @given("the server of zone a has just refused a call")
 def step_refused(context: Any) -> None:
     context.router.started(ServerId("s-a"))
--- a/packages/policy/src/marjoramstep_policy/routing/zone_first.py
+++ b/packages/policy/src/marjoramstep_policy/routing/zone_first.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from .router import REMOTE_ZONE_FACTOR
 from .router import ROUTERS
 from .router import Router
 
@@ -28,8 +29,8 @@
 
     Spreading evenly over all zones costs a way between zones for most calls and gains
     nothing while the own zone has free slots. A member is passed over when its slots
-    are taken, when it refuses, or when its calls are overdue; then the member with the
-    lowest score of all zones is used.
+    are taken, when it refuses, or when its calls are overdue; then a member of another
+    zone is used, unless that one is pressed too and not much better.
     """
 
     def pick(
@@ -74,8 +75,9 @@
         if near is None or far is None:
             return near or far or self._choose_any(group, excluded)
         if far.is_pressed(now_ms):
-            near_score = near.score(now_ms, reference_ms)
-            return near if near_score <= far.score(now_ms, reference_ms) else far
+            # Where all are pressed, a way between zones must gain more than it costs.
+            limit = REMOTE_ZONE_FACTOR * far.score(now_ms, reference_ms)
+            return near if near.score(now_ms, reference_ms) <= limit else far
         return far
 
 
