Start fewer roots that fail, and admit all sooner after an overload

The throttle accepted a fifth of failed roots, and its steps up were so large that each overshot what the deep service carries.

Change: the limit is 5%, the step down 30%, the step up 6%; after four windows below the limit in a row the step doubles with each further one.

Test: features/policy/root_throttle.feature; 'Two of three roots that start complete' failed before with 64 and 65 percent.

--- a/features/policy/root_throttle.feature
+++ b/features/policy/root_throttle.feature
@@ -14,6 +14,18 @@
       | adaptive | 2    | at least | 21      |
       | adaptive | 4    | at least | 21      |
 
+  # The work of a root that fails is wasted, and its caller learns of it late.
+  Scenario Outline: Two of three roots that start complete
+    Given a "adaptive" throttle for roots with <calls> calls each to a service with 2000 calls a second
+    And the outcome of a root is known after 300 ms
+    When roots arrive for 20 s at 2 times what the service can carry
+    Then at least 67 percent of the roots that started are whole
+
+    Examples:
+      | calls |
+      | 4     |
+      | 10    |
+
   Scenario: The full share is back soon after the overload
     Given a "adaptive" throttle for roots with 10 calls each to a service with 200 calls a second
     When roots arrive for 10 s at 4 times what the service can carry
--- a/features/steps/daemon_bench.py
+++ b/features/steps/daemon_bench.py
@@ -28,6 +28,8 @@
     from collections.abc import Callable
 
 LIMIT_SECONDS = 25.0
+# Some thirty processes start; on a busy machine each waits for processor time.
+START_LIMIT_SECONDS = 180.0
 POLL_SECONDS = 0.02
 BENCHES: dict[str, Bench] = {}
 
@@ -74,13 +76,13 @@
         self.session: aiohttp.ClientSession
         self.is_started = False
 
-    def run(self, coroutine: Any) -> Any:
+    def run(self, coroutine: Any, limit_seconds: float = LIMIT_SECONDS) -> Any:
         """Run a coroutine on the bench's own event loop."""
-        return self.runner.run(asyncio.wait_for(coroutine, LIMIT_SECONDS))
+        return self.runner.run(asyncio.wait_for(coroutine, limit_seconds))
 
     def start(self) -> None:
         """Start all processes and wait until each node reaches each service."""
-        self.run(self._start())
+        self.run(self._start(), START_LIMIT_SECONDS)
 
     async def _start(self) -> None:
         self.session = aiohttp.ClientSession(
--- a/features/steps/policy_root_throttle_steps.py
+++ b/features/steps/policy_root_throttle_steps.py
@@ -27,6 +27,12 @@
     context.rng = random.Random(7)
     context.throttle = ROOT_THROTTLES.get(name)(context.clock, context.rng)
     context.calls, context.rate = calls, rate
+    context.delay_ticks = 0
+
+
+@given("the outcome of a root is known after {delay_ms:d} ms")
+def step_delay(context: Any, delay_ms: int) -> None:
+    context.delay_ticks = int(delay_ms / TICK_MS)
 
 
 @when("roots arrive for {seconds:d} s at {load:g} times what the service can carry")
@@ -34,7 +40,8 @@
     """Each call is shed with the probability that the demand of its tick gives."""
     possible = context.rate / context.calls / TICKS_PER_SECOND
     credit = 0.0
-    context.whole = 0
+    context.whole = context.started = 0
+    running: list[list[bool]] = [[] for _ in range(context.delay_ticks)]
     context.possible = possible * TICKS_PER_SECOND * seconds
     for _ in range(seconds * TICKS_PER_SECOND):
         credit += load * possible
@@ -43,8 +50,14 @@
         demand = started * context.calls
         capacity = context.rate / TICKS_PER_SECOND
         served = min(1.0, capacity / demand) if demand else 1.0
-        for _ in range(started):
-            is_whole = all(context.rng.random() < served for _ in range(context.calls))
+        context.started += started
+        running.append(
+            [
+                all(context.rng.random() < served for _ in range(context.calls))
+                for _ in range(started)
+            ]
+        )
+        for is_whole in running.pop(0):
             context.whole += is_whole
             context.throttle.finished(ROW, shed_below=not is_whole)
         context.clock.advance_ms(TICK_MS)
@@ -58,6 +71,12 @@
         context.clock.advance_ms(5.0)
 
 
+@then("at least {percent:d} percent of the roots that started are whole")
+def step_whole_share(context: Any, percent: int) -> None:
+    found = 100.0 * context.whole / context.started
+    assert found >= percent, found
+
+
 @then(
     "the whole requests are {bound} {percent:d} percent of what the service can carry"
 )
--- a/packages/policy/src/marjoramstep_policy/admission/root_throttle.py
+++ b/packages/policy/src/marjoramstep_policy/admission/root_throttle.py
@@ -20,13 +20,17 @@
 # A window without enough outcomes ends after this time.
 MAX_WINDOW_MS = 1_000.0
 # Share of shed roots above which the row counts as overloaded below.
-SHED_LIMIT = 0.2
+SHED_LIMIT = 0.05
 # The share of admitted roots falls by this part of the share that was shed.
-DECREASE = 0.2
+DECREASE = 0.3
 # Part of the share that is added at the end of each other window. A step of a fixed
 # size would overshoot by far where only a small share is sustainable.
-INCREASE = 0.12
+INCREASE = 0.06
 MIN_INCREASE = 0.01
+# After so many windows in a row below the limit the overload counts as over, and each
+# further one doubles the step up to this factor.
+CALM_WINDOWS = 4
+MAX_STEP_FACTOR = 16.0
 MIN_SHARE = 0.05
 # A refused root may come back within this time, spread against a herd.
 MIN_RETRY_AFTER_MS = 400.0
@@ -37,10 +41,11 @@
 class _RowState:
     """Admitted share of one row and the outcomes of its present window."""
 
-    __slots__ = ("finished", "share", "shed", "window_ms")
+    __slots__ = ("calm_windows", "finished", "share", "shed", "window_ms")
 
     def __init__(self, now_ms: float) -> None:
         self.share = 1.0
+        self.calm_windows = 0
         self.window_ms = now_ms
         self.finished = 0
         self.shed = 0
@@ -118,8 +123,12 @@
         if shed_share > SHED_LIMIT:
             kept = (1.0 - DECREASE * shed_share) ** steps
             state.share = max(state.share * kept, MIN_SHARE)
+            state.calm_windows = 0
         else:
+            state.calm_windows += int(steps)
+            factor = 2.0 ** max(state.calm_windows - CALM_WINDOWS, 0)
             step = max(state.share * INCREASE, MIN_INCREASE)
+            step *= min(factor, MAX_STEP_FACTOR)
             state.share = min(state.share + step * steps, 1.0)
         state.window_ms = now_ms
         state.finished = 0
