Make the windows of deflated connections with their first message

Cause: each open connection between zones held about 46 kB of windows, also the many that carry no call.

Change: deflater and inflater are made when the first message needs them.

--- a/packages/wire/src/marjoramstep_wire/codec.py
+++ b/packages/wire/src/marjoramstep_wire/codec.py
@@ -100,13 +100,12 @@
 class DeflatingEncoder:
     """Encodes the messages of one connection, each deflated with those before it.
 
-    Bodies stay as they are: most do not shrink, and long ones would take long.
+    Bodies stay as they are: most do not shrink, and long ones would take long. The
+    window is made with the first message, since many connections never carry one.
     """
 
     def __init__(self) -> None:
-        self._deflater = zlib.compressobj(
-            DEFLATE_LEVEL, zlib.DEFLATED, DEFLATE_WINDOW_BITS, DEFLATE_MEMORY_LEVEL
-        )
+        self._deflater: zlib._Compress | None = None
 
     def encode(self, message: Message) -> bytes:
         """Encode a message as one frame.
@@ -118,8 +117,13 @@
         body = getattr(message, "body", b"")
         if body:
             message.body = b""
-        data = self._deflater.compress(fastbinary.encode_binary(message, _SPECS[cls]))
-        data += self._deflater.flush(zlib.Z_SYNC_FLUSH)[: -len(FLUSH_MARKER)]
+        deflater = self._deflater
+        if deflater is None:
+            deflater = self._deflater = zlib.compressobj(
+                DEFLATE_LEVEL, zlib.DEFLATED, DEFLATE_WINDOW_BITS, DEFLATE_MEMORY_LEVEL
+            )
+        data = deflater.compress(fastbinary.encode_binary(message, _SPECS[cls]))
+        data += deflater.flush(zlib.Z_SYNC_FLUSH)[: -len(FLUSH_MARKER)]
         if body:
             message.body = body
         length = 1 + DEFLATED_LENGTH.size + len(data) + len(body)
@@ -142,7 +146,7 @@
     def __init__(self, peer: str) -> None:
         self._peer = peer
         self._buffer = bytearray()
-        self._inflater = zlib.decompressobj(DEFLATE_WINDOW_BITS)
+        self._inflater: zlib._Decompress | None = None
         # Set once the peer has proved who it is.
         self.accepts_deflated = False
 
@@ -188,11 +192,14 @@
         if end > len(payload):
             raise self._error("a deflated struct beyond the end of its frame")
         data = payload[DEFLATED_LENGTH.size : end] + FLUSH_MARKER
+        inflater = self._inflater
+        if inflater is None:
+            inflater = self._inflater = zlib.decompressobj(DEFLATE_WINDOW_BITS)
         try:
-            plain = self._inflater.decompress(data, FRAME_LIMIT_BYTES)
+            plain = inflater.decompress(data, FRAME_LIMIT_BYTES)
         except zlib.error as error:
             raise self._error(f"cannot inflate: {error}") from error
-        if self._inflater.unconsumed_tail or self._inflater.eof:
+        if inflater.unconsumed_tail or inflater.eof:
             raise self._error("a deflated struct beyond the limit or after the end")
         message = decode_struct(MESSAGE_TYPES[code], plain, self._peer)
         if end < len(payload):
