--- a/packages/policy/src/marjoramstep_policy/routing/__init__.py
+++ b/packages/policy/src/marjoramstep_policy/routing/__init__.py
@@ -9,8 +9,8 @@
 from .members import RouteMember
 from .router import ROUTERS
 from .router import Router
-from .router import UniformRouter
 from .targets import TargetChooser
+from .uniform import UniformRouter
 from .zone_first import ZoneFirstRouter
 
 
--- a/packages/policy/src/marjoramstep_policy/routing/router.py
+++ b/packages/policy/src/marjoramstep_policy/routing/router.py
@@ -19,6 +19,7 @@
 from .server_state import ServerRecord
 from .server_state import slow_limit_ms
 from .service_group import ServiceGroup
+from .service_group import without
 
 
 if TYPE_CHECKING:
@@ -221,8 +222,8 @@
     ) -> ServerRecord | None:
         local, remote = group.local, group.remote
         if excluded:
-            local = _without(local, excluded)
-            remote = _without(remote, excluded)
+            local = without(local, excluded)
+            remote = without(remote, excluded)
         reference_ms = group.reference_ms
         if group.local_is_overloaded and remote:
             return self._draw(remote, now_ms, reference_ms) or self._rng.choice(remote)
@@ -244,7 +245,7 @@
             group.remote_overloaded,
             group.suspended,
         ):
-            left = _without(records, excluded)
+            left = without(records, excluded)
             if left:
                 return self._rng.choice(left)
         return None
@@ -378,37 +379,6 @@
             group.refresh(now_ms)
 
 
-@ROUTERS.register("uniform")
-class UniformRouter(Router):
-    """Baseline: each ready member is equally likely."""
-
-    def pick(
-        self,
-        service: ServiceName,
-        excluded: frozenset[ServerId],
-        *,
-        may_sample: bool = False,
-    ) -> RouteMember | None:
-        """Choose a ready member at random.
-
-        :return: a ready member, or ``None`` if none is left
-        """
-        group = self._groups.get(service)
-        if group is None:
-            return None
-        now_ms = self._clock.now_ms()
-        if now_ms >= group.next_refresh_ms:
-            group.refresh(now_ms)
-        ready = _without(group.ready, excluded) if excluded else group.ready
-        return self._rng.choice(ready).member if ready else None
-
-
-def _without(
-    records: list[ServerRecord], excluded: frozenset[ServerId]
-) -> list[ServerRecord]:
-    return [record for record in records if record.member.server_id not in excluded]
-
-
 def _is_fresh_start(before: RouteMember, after: RouteMember) -> bool:
     if after.incarnation != before.incarnation:
         return True
--- a/packages/policy/src/marjoramstep_policy/routing/service_group.py
+++ b/packages/policy/src/marjoramstep_policy/routing/service_group.py
@@ -112,6 +112,20 @@
         return len(self.suspended) + 1 <= limit
 
 
+def without(
+    records: list[ServerRecord], excluded: frozenset[ServerId]
+) -> list[ServerRecord]:
+    """Leave out servers that must not be chosen.
+
+    :param records: candidates
+    :param excluded: ids of these servers
+    :return: the others
+    """
+    if not excluded:
+        return records
+    return [record for record in records if record.member.server_id not in excluded]
+
+
 def _overloaded_zones(ready: list[ServerRecord], now_ms: float) -> set[ZoneName]:
     totals: dict[ZoneName, int] = {}
     overloaded: dict[ZoneName, int] = {}
--- a/packages/policy/src/marjoramstep_policy/routing/zone_first.py
+++ b/packages/policy/src/marjoramstep_policy/routing/zone_first.py
@@ -7,6 +7,7 @@
 from .router import REMOTE_ZONE_FACTOR
 from .router import ROUTERS
 from .router import Router
+from .service_group import without
 
 
 if TYPE_CHECKING:
@@ -68,10 +69,10 @@
         self, group: ServiceGroup, excluded: frozenset[ServerId], now_ms: float
     ) -> ServerRecord | None:
         reference_ms = group.reference_ms
-        near = self._draw(_left(group.local, excluded), now_ms, reference_ms)
+        near = self._draw(without(group.local, excluded), now_ms, reference_ms)
         if near is not None and not near.is_pressed(now_ms):
             return near
-        far = self._draw(_left(group.remote, excluded), now_ms, reference_ms)
+        far = self._draw(without(group.remote, excluded), now_ms, reference_ms)
         if near is None or far is None:
             return near or far or self._choose_any(group, excluded)
         if far.is_pressed(now_ms):
@@ -79,11 +80,3 @@
             limit = REMOTE_ZONE_FACTOR * far.score(now_ms, reference_ms)
             return near if near.score(now_ms, reference_ms) <= limit else far
         return far
-
-
-def _left(
-    records: list[ServerRecord], excluded: frozenset[ServerId]
-) -> list[ServerRecord]:
-    if not excluded:
-        return records
-    return [record for record in records if record.member.server_id not in excluded]
