Tell the node above that a failure comes from a shortage further down

The calls are shed three levels below the root. The node above saw an answer with status 500 of a server and not a refusal, so that the throttle of roots noticed nothing.

Change: a failure of a backend server whose further calls were shed carries the reason shed-below, from level to level. A call that a backend server turned away itself counts no more: it had a slot, and fewer roots would not help.

--- a/packages/core/src/marjoramstep_core/states.py
+++ b/packages/core/src/marjoramstep_core/states.py
@@ -46,6 +46,7 @@
     SERVER_CRASHED = "server-crashed"
     BAD_ANSWER = "bad-answer"
     ANSWER_NOT_STORED = "answer-not-stored"
+    SHED_BELOW = "shed-below"
     INTERNAL = "internal"
 
 
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/serving.py
@@ -11,6 +11,7 @@
 from marjoramstep_wire.messages import LoadReport
 from marjoramstep_wire.messages import ServicePressure
 
+from ..calls import SERVER_ERROR_STATUS
 from ..calls import Answer
 from ..calls import Failed
 from ..calls import Refused
@@ -257,6 +258,9 @@
         else:
             reply.retry_tokens = self._in_flight.remove(context_id)
         if isinstance(reply, Answer):
+            if call.shed_below and reply.status >= SERVER_ERROR_STATUS:
+                # Tells the node above that it is a shortage further down.
+                reply.reason = reply.reason or Reason.SHED_BELOW
             duration_ms = self._clock.now_ms() - started_ms
             self._metrics.observe_run(call, duration_ms)
             if reply.body.is_complete:
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -13,6 +13,7 @@
 from marjoramstep_policy.routing import TargetChooser
 
 from ..backend_servers.in_flight import SubCallState
+from ..calls import SERVER_ERROR_STATUS
 from ..calls import Answer
 from ..calls import Call
 from ..calls import Failed
@@ -46,7 +47,6 @@
 KEY_BYTES = 12
 # Sub-calls of one request that are remembered, to recognize resends.
 SUB_CALL_LIMIT = 10_000
-SERVER_ERROR_STATUS = 500
 # Twice the interval at which nodes ask for a confirmation.
 CONFIRMED_TABLE_MS = 10_000.0
 # The claim shows that nothing with this content ran under the key.
@@ -61,6 +61,7 @@
         Reason.QUEUE_FULL,
         Reason.DEADLINE,
         Reason.BACKPRESSURE,
+        Reason.SHED_BELOW,
     }
 )
 # A key is remembered for longer than any deadline of a row (1 h at most).
@@ -277,7 +278,7 @@
             parent.sub_calls[identity] = SubCallState.RUNNING
         parent.call.made_calls = True
         result = await self._dispatch_sub_call(request, key, row, parent, now_ms)
-        if result.reply.reason in SHED_REASONS:
+        if _shows_shortage(result.reply):
             parent.call.shed_below = True
         if identity in parent.sub_calls:
             parent.sub_calls[identity] = _state_after(result, earlier)
@@ -366,6 +367,13 @@
     return f"{content:x}"
 
 
+def _shows_shortage(reply: Reply) -> bool:
+    if isinstance(reply, Refused) and reply.reached_server:
+        # It had a slot and was turned away all the same; fewer roots would not help.
+        return False
+    return reply.reason in SHED_REASONS
+
+
 def _state_after(result: EntryResult, earlier: SubCallState | None) -> SubCallState:
     reply = result.reply
     if isinstance(reply, Answer) and reply.status < SERVER_ERROR_STATUS:
--- a/packages/daemon/src/marjoramstep_daemon/callers/outcome_log.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/outcome_log.py
@@ -5,6 +5,7 @@
 import math
 from typing import TYPE_CHECKING
 
+from ..calls import SERVER_ERROR_STATUS
 from ..calls import Answer
 
 
@@ -14,7 +15,6 @@
     from .entry import EntryResult
     from .entry_request import EntryRequest
 
-SERVER_ERROR_STATUS = 500
 # One plain success in this many is logged.
 SAMPLED_SUCCESSES = 100
 UNKNOWN_AGE_MS = -1.0
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -28,6 +28,7 @@
 # Bodies up to this size travel whole in the first message; longer ones are streamed.
 INLINE_BODY_LIMIT_BYTES = 65_536
 UNKNOWN_LENGTH = -1
+SERVER_ERROR_STATUS = 500
 
 HeaderList = list[tuple[str, str]]
 
