--- /dev/null
+++ b/features/steps/daemon_shed_below_steps.py
@@ -0,0 +1,120 @@
+"""Steps for shortages that are told from level to level."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+from typing import Any
+
+from behave import given
+from behave import then
+from behave import when
+from daemon_entry_steps import _make_entry
+from daemon_harness import CLOCK
+from daemon_harness import make_call
+from daemon_harness import run
+from marjoramstep_core.clock import ManualClock
+from marjoramstep_core.ids import RequestKey
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.states import Reason
+from marjoramstep_core.states import ServerState
+from marjoramstep_daemon.backend_servers.in_flight import InFlightMap
+from marjoramstep_daemon.backend_servers.own_server import Announcement
+from marjoramstep_daemon.backend_servers.protocol import NativeBackendProtocol
+from marjoramstep_daemon.backend_servers.serving import ServingService
+from marjoramstep_daemon.callers.entry_request import EntryRequest
+from marjoramstep_daemon.calls import Answer
+from marjoramstep_daemon.calls import Body
+from marjoramstep_daemon.calls import Refused
+from marjoramstep_daemon.metrics import NodeMetrics
+from marjoramstep_daemon.pressure_keeper import PressureKeeper
+from marjoramstep_policy.admission import ADMISSION_VARIANTS
+from marjoramstep_policy.pressure import PRESSURE_VARIANTS
+from marjoramstep_policy.retries import RetryAllowance
+
+
+SERVICE = ServiceName("s")
+REPLIES = {
+    "refused by a full node": Refused(Reason.OVERLOAD),
+    "with a failure from a shortage": Answer(500, [], Body(), reason=Reason.SHED_BELOW),
+    "turned away by the backend server": Refused(Reason.OVERLOAD, reached_server=True),
+    "with a failure of another kind": Answer(500, [], Body()),
+}
+
+
+def _ignore(*_arguments: Any) -> None:
+    return None
+
+
+def _serving(status: int) -> ServingService:
+    """Make a serving side with a backend server that answers at once."""
+
+    async def send(_call: Any, _headers: Any) -> Answer:
+        return Answer(status, [], Body())
+
+    announcement = Announcement(SERVICE, ("127.0.0.1", 1), 4, 4, ServerState.READY, 1)
+    own_server: Any = SimpleNamespace(
+        client=SimpleNamespace(send=send),
+        announcement=announcement,
+        state=ServerState.READY,
+    )
+    controller = ADMISSION_VARIANTS.get("fixed")(CLOCK, 4)
+    unused: Any = None
+    quiet: Any = SimpleNamespace(note=_ignore, succeeded=_ignore)
+    return ServingService(
+        ManualClock(1_000.0),
+        own_server,
+        SimpleNamespace(load=controller.load),  # type: ignore[arg-type]
+        InFlightMap(RetryAllowance),
+        unused,
+        unused,
+        quiet,
+        PressureKeeper(PRESSURE_VARIANTS.get("reported")(CLOCK)),
+        NodeMetrics(),
+        unused,
+        unused,
+        quiet,
+        NativeBackendProtocol(),
+    )
+
+
+@given("a backend server that answers with status {status:d}")
+def step_server(context: Any, status: int) -> None:
+    context.status = status
+
+
+@when("a call runs there {presence} a further call that was shed")
+def step_run(context: Any, presence: str) -> None:
+    async def scenario() -> None:
+        call = make_call(shed_below=presence == "with")
+        context.reply = await _serving(context.status).run(call)
+
+    run(scenario())
+
+
+@then("its answer {verdict} of a shortage below")
+def step_tells(context: Any, verdict: str) -> None:
+    is_told = context.reply.reason is Reason.SHED_BELOW
+    assert is_told == (verdict == "tells"), context.reply
+
+
+@when("a further call of a running request ends {how}")
+def step_further_call(context: Any, how: str) -> None:
+    async def dispatch(_call: Any, _allowance: Any) -> tuple[Any, bool]:
+        return REPLIES[how], False
+
+    async def scenario() -> None:
+        in_flight = InFlightMap(RetryAllowance)
+        entry = _make_entry(in_flight, SimpleNamespace(dispatch=dispatch))  # type: ignore[arg-type]
+        context.parent = make_call("parent")
+        context_id = in_flight.add(context.parent, CLOCK.now_ms())
+        request = EntryRequest(
+            SERVICE, "GET", "/x", [], Body(), RequestKey("k"), None, context_id
+        )
+        await entry.execute(request)
+
+    run(scenario())
+
+
+@then("the parent {verdict} as shed below")
+def step_marked(context: Any, verdict: str) -> None:
+    assert context.parent.shed_below == (verdict == "is marked"), context.parent
