--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -108,42 +108,42 @@
         """
         await self._members.ensure(call.service, call.deadline_ms)
         self._budget.record_first(call.service, call.weight)
-        course = _Course()
+        history = _AttemptHistory()
         reply: Reply = Refused(
             Reason.NO_SERVER,
             "no backend server is ready",
             retry_after_ms=START_RETRY_AFTER.next_ms(),
         )
         member = self._router.pick(
-            call.service, course.excluded, may_sample=self._may_sample(call)
+            call.service, history.excluded, may_sample=self._may_sample(call)
         )
         while member is not None:
             reply = await self._attempt(call, member, allowance)
             if isinstance(reply, Answer):
                 break
-            course.note(member, reply)
-            if not self._may_retry(call, reply, allowance, course):
+            history.note(member, reply)
+            if not self._may_retry(call, reply, allowance, history):
                 break
             call.body.restart()
-            if not _stays(call, reply, course):
-                member = self._router.pick(call.service, course.excluded)
-        return reply, course.may_have_run
+            if not _stays(call, reply, history):
+                member = self._router.pick(call.service, history.excluded)
+        return reply, history.may_have_run
 
     def _may_retry(
         self,
         call: Call,
         reply: Refused | Failed,
         allowance: RetryAllowance,
-        course: _Course,
+        history: _AttemptHistory,
     ) -> bool:
         if not _is_useful(call, reply) or self._clock.now_ms() >= call.deadline_ms:
             return False
         if isinstance(reply, Refused) and not reply.reached_server:
-            return self._may_move_on(call, reply, course)
+            return self._may_move_on(call, reply, history)
         limit = call.row.attempts
         if isinstance(reply, Refused):
             limit += TURNED_AWAY_RESENDS
-        if allowance.held == 0 or course.sends >= limit:
+        if allowance.held == 0 or history.sends >= limit:
             return False
         if not self._spend(call, reply):
             self._metrics.count_event("retry over service budget")
@@ -153,11 +153,13 @@
         self._log_move("call sent again", call, reply)
         return allowance.take()
 
-    def _may_move_on(self, call: Call, reply: Refused, course: _Course) -> bool:
+    def _may_move_on(
+        self, call: Call, reply: Refused, history: _AttemptHistory
+    ) -> bool:
         """Tell whether another member may be asked; nothing has been sent yet."""
-        if course.full_moves > FULL_MOVE_LIMIT:
+        if history.full_moves > FULL_MOVE_LIMIT:
             return False
-        if len(course.reached) >= call.row.attempts:
+        if len(history.reached) >= call.row.attempts:
             return False
         self._metrics.count_event("moved on")
         self._log_move("call moved on", call, reply)
@@ -166,7 +168,7 @@
     def _spend(self, call: Call, reply: Refused | Failed) -> bool:
         if isinstance(reply, Failed):
             return self._budget.try_spend(call.service)
-        resend = Resend(call.weight, call.is_paid_for)
+        resend = Resend(call.weight, call.siblings_succeeded)
         return self._budget.try_resend(call.service, resend)
 
     def _log_move(self, decision: str, call: Call, reply: Reply) -> None:
@@ -258,7 +260,7 @@
 
 
 @dataclass(slots=True)
-class _Course:
+class _AttemptHistory:
     """What became of the attempts at one call so far.
 
     :param reached: backend servers that the call was sent to
@@ -299,7 +301,7 @@
     )
 
 
-def _stays(call: Call, reply: Refused | Failed, course: _Course) -> bool:
+def _stays(call: Call, reply: Refused | Failed, history: _AttemptHistory) -> bool:
     """Tell whether the next attempt goes to the same backend server.
 
     One that turns away a part of its requests may well take the next one, and a further
@@ -309,7 +311,7 @@
         isinstance(reply, Refused)
         and reply.reached_server
         and reply.reason in FULL_REASONS
-        and len(course.reached) >= call.row.attempts
+        and len(history.reached) >= call.row.attempts
     )
 
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -310,7 +310,7 @@
         call.root_id = parent.call.root_id
         call.weight = parent.call.weight
         call.depth = parent.call.depth + 1
-        call.is_paid_for = SubCallState.SUCCEEDED in parent.sub_calls.values()
+        call.siblings_succeeded = SubCallState.SUCCEEDED in parent.sub_calls.values()
         # The deadline of a row is that of a whole request. A shorter one of the called
         # row would end the request while its own deadline can still be met.
         call.deadline_ms = parent.call.deadline_ms
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -134,7 +134,7 @@
     :param reached_services: services below that replies have named
     :param made_calls: whether its backend server made further calls for it
     :param shed_below: whether one of these was refused or came too late
-    :param is_paid_for: whether its parent has made other calls with success
+    :param siblings_succeeded: whether its parent has made other calls with success
     :param withdrawn: set when the caller was told the outcome; a call that has not
         started by then must not start any more
     """
@@ -158,7 +158,7 @@
     withdrawn: bool = False
     made_calls: bool = False
     shed_below: bool = False
-    is_paid_for: bool = False
+    siblings_succeeded: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/policy/src/marjoramstep_policy/retries/service_budget.py
+++ b/packages/policy/src/marjoramstep_policy/retries/service_budget.py
@@ -29,12 +29,12 @@
     """A call that a backend server has turned away.
 
     :param weight: weight of its root
-    :param is_paid_for: whether earlier calls of the same parent have succeeded, whose
-        work is lost if this one fails
+    :param siblings_succeeded: whether earlier calls of the same parent have succeeded,
+        whose work is lost if this one fails
     """
 
     weight: int
-    is_paid_for: bool
+    siblings_succeeded: bool
 
 
 # Parts of the budget that a resend may use, by whether it has the highest weight among
@@ -142,7 +142,7 @@
             return False
         window.advance(tick)
         is_heaviest = resend.weight >= max(window.weights)
-        part = RESEND_PARTS[is_heaviest, resend.is_paid_for]
+        part = RESEND_PARTS[is_heaviest, resend.siblings_succeeded]
         return window.try_spend(tick, REFUSED_SHARE * part)
 
     def tracked_services(self) -> int:
