--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -31,3 +31,14 @@
   Scenario: Abandoning an answer that was read in full does not reset the next request
     When a long chunked answer that was read in full is abandoned during a second request
     Then both requests are answered on one connection
+
+  # Guards against a request that runs twice, or that runs and is refused as not run: the
+  # late second copy of its refusal carries the same id as the next send of the request.
+  Scenario Outline: A second copy of a refusal does not answer the next send of its request
+    When a backend server refuses a request and sends the refusal again before its next answer, with a limit of <limit> connections
+    Then the second send of the request is answered
+
+    Examples:
+      | limit |
+      | 10    |
+      | 1     |
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
@@ -32,6 +32,7 @@
     from ..calls import Call
     from .protocol import BackendProtocol
     from .server_connection import ServerAnswer
+    from .server_connection import ServerConnection
 
 # Far above the few milliseconds in which a backend server on the same VM accepts a
 # connection. The reply to the failed call waits for this check.
@@ -98,7 +99,7 @@
         :raises MarjoramstepError: if the caller's upload was truncated
         """
         try:
-            connection = await self._pool.acquire()
+            connection = await self._pool.acquire(call.request_key)
         except NotConnectedError as error:
             raise self._error(error, BackendFault.NOT_CONNECTED) from error
         request = OutgoingRequest(
@@ -110,7 +111,7 @@
         )
         try:
             answer = await connection.send(request)
-            return await self._to_reply(call, answer)
+            return await self._to_reply(call, connection, answer)
         except BrokenExchangeError as error:
             if connection.upload_error is not None:
                 # The caller's upload was truncated; the backend server did not fail.
@@ -135,10 +136,12 @@
         self._pool.close()
 
     async def _to_reply(
-        self, call: Call, answer: ServerAnswer
+        self, call: Call, connection: ServerConnection, answer: ServerAnswer
     ) -> Answer | Refused | Failed:
         rejection = self._protocol.classify(call, answer.status, answer.headers)
         if rejection is not None:
+            if isinstance(rejection, Refused):
+                connection.record_refusal(call.request_key)
             # Reads the body to its end. If the request body has not been sent in full,
             # the connection is closed after that.
             await answer.read()
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
@@ -14,6 +14,7 @@
     from collections.abc import Callable
 
     from marjoramstep_core.addresses import Address
+    from marjoramstep_core.ids import RequestKey
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 
@@ -41,20 +42,20 @@
         self._open: set[ServerConnection] = set()
         self._is_closed = False
 
-    async def acquire(self) -> ServerConnection:
+    async def acquire(self, request_key: RequestKey) -> ServerConnection:
         """Take an idle connection out of the pool, or open a new one.
 
         The connection returns to the pool by itself after its exchange.
 
+        :param request_key: key of the request to send; connections on which it was
+            refused are not taken
         :return: the connection, for one request
         :raises NotConnectedError: if none can be opened
         """
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.is_usable:
-                return connection
-            connection.abort()
-        if len(self._open) >= self._limit:
+        connection = self._take_idle(request_key)
+        if connection is not None:
+            return connection
+        if len(self._open) >= self._limit and not self._close_one_idle():
             raise self._error("connection limit reached")
         return await self._connect()
 
@@ -82,6 +83,26 @@
         for connection in list(self._open):
             connection.abort()
 
+    def _take_idle(self, request_key: RequestKey) -> ServerConnection | None:
+        for position in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[position]
+            if connection.has_refused(request_key):
+                continue
+            del self._idle[position]
+            if connection.is_usable:
+                return connection
+            connection.abort()
+        return None
+
+    def _close_one_idle(self) -> bool:
+        """Close the connection that has been idle for longest, if there is one."""
+        if not self._idle:
+            return False
+        connection = self._idle.pop(0)
+        self._open.discard(connection)
+        connection.abort()
+        return True
+
     async def _connect(self) -> ServerConnection:
         loop = asyncio.get_running_loop()
         host, port = self._address
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
@@ -27,6 +27,7 @@
 
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
+    from marjoramstep_core.ids import RequestKey
     from multidict import CIMultiDict
 
     from ..calls import Body
@@ -39,6 +40,8 @@
 # closes the connection is lost.
 IDLE_MARGIN_SECONDS = 1.0
 NO_BODY_STATUS = frozenset({204, 304})
+# Refused requests that a connection remembers; with more it is not reused.
+REFUSED_KEYS_LIMIT = 256
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 
 
@@ -153,6 +156,7 @@
         self._upload_task: asyncio.Task[None] | None = None
         self._skip_tasks: set[asyncio.Task[None]] = set()
         self._keeps_alive = True
+        self._refused_keys: set[RequestKey] = set()
         self._idle_limit_seconds = DEFAULT_IDLE_SECONDS
         self._idle_since = self._loop.time()
         self.upload_error: MarjoramstepError | None = None
@@ -163,9 +167,29 @@
         transport = self.transport
         if transport is None or transport.is_closing() or not self._keeps_alive:
             return False
+        if len(self._refused_keys) >= REFUSED_KEYS_LIMIT:
+            return False
         idle_seconds = self._loop.time() - self._idle_since
         return idle_seconds < self._idle_limit_seconds
 
+    def record_refusal(self, request_key: RequestKey) -> None:
+        """Remember that the server has refused a request on this connection.
+
+        :param request_key: key of the request
+        """
+        self._refused_keys.add(request_key)
+
+    def has_refused(self, request_key: RequestKey) -> bool:
+        """Return whether the server has refused a request on this connection.
+
+        A late second copy of the refusal would be taken for the answer if the request
+        were sent here again, since both carry the key of the request.
+
+        :param request_key: key of the request
+        :return: whether it must not be sent on this connection again
+        """
+        return request_key in self._refused_keys
+
     def abort(self) -> None:
         """Reset the connection, so that the backend server cancels the request."""
         self._keeps_alive = False
