--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -29,3 +29,13 @@
   Scenario: A draining listener announces the close and still answers
     When the listener announces its close while "/1" runs
     Then the answer of "/1" announces that the connection closes
+
+  # Guards against a caller that takes the next answer on its connection for its own.
+  Scenario: An answer that cannot be written does not leave its place to the next one
+    When the answer of "/1" cannot be written and "/2" was sent behind it
+    Then the connection ends without the answer of "/2"
+
+  # Guards against a request that a node accepts and cannot write to the backend server.
+  Scenario: A request with a control character in a header is not run
+    When a caller sends a header with a control character
+    Then the caller gets status 400 and no request was run
--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -42,3 +42,18 @@
       | limit |
       | 10    |
       | 1     |
+
+  # Guards against an answer that the node beside the server accepts and the node of the
+  # caller cannot write: its exchange ended without an answer, and the caller took the
+  # next answer on the connection for it.
+  Scenario Outline: An answer that cannot be forwarded is a broken answer
+    When a backend server sends an answer with <fault>
+    Then the client reports a broken answer
+
+    Examples:
+      | fault                        |
+      | the header byte 01           |
+      | the header byte 7f           |
+      | the status 099               |
+      | the status 101               |
+      | the status 600               |
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from typing import TYPE_CHECKING
 from typing import Any
 
 from behave import given
@@ -20,6 +21,9 @@
 from marjoramstep_daemon.log import EventLog
 
 
+if TYPE_CHECKING:
+    from marjoramstep_daemon.calls import HeaderList
+
 LONG_BODY_BYTES = 200_000
 
 
@@ -29,6 +33,7 @@
     def __init__(self) -> None:
         self.releases: dict[str, asyncio.Event] = {}
         self.cancelled: list[str] = []
+        self.headers: dict[str, HeaderList] = {}
 
     async def execute(self, request: Any) -> EntryResult:
         """Wait until the request is released and answer with its path."""
@@ -39,7 +44,8 @@
             self.cancelled.append(request.path)
             raise
         data = request.path.encode()
-        answer = Answer(200, [], Body(data, length=len(data)))
+        headers = self.headers.get(request.path, [])
+        answer = Answer(200, headers, Body(data, length=len(data)))
         return EntryResult(answer, Outcome.DONE, "k", "r")
 
 
@@ -187,3 +193,35 @@
 @then('the answer of "/1" announces that the connection closes')
 def step_closes(context: Any) -> None:
     assert b"connection: close" in context.head.lower(), context.head
+
+
+@when('the answer of "/1" cannot be written and "/2" was sent behind it')
+def step_unwritable_answer(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        entry = context.entry
+        entry.headers["/1"] = [("X", "\x01")]
+        writer.write(_get("/1") + _get("/2"))
+        await wait_until(lambda: len(entry.releases) == 2)
+        entry.releases["/2"].set()
+        entry.releases["/1"].set()
+        try:
+            async with asyncio.timeout(5.0):
+                context.received = await reader.read(1_000)
+        except ConnectionResetError:
+            context.received = b""
+
+    _with_caller(context, scenario)
+
+
+@then('the connection ends without the answer of "/2"')
+def step_no_foreign_answer(context: Any) -> None:
+    assert context.received == b"", context.received
+
+
+@when("a caller sends a header with a control character")
+def step_control_character(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        writer.write(b"GET /1 HTTP/1.1\r\nHost: s\r\nX: a\x01b\r\n\r\n")
+        context.head, _ = await _read_answer(reader)
+
+    _with_caller(context, scenario)
--- a/features/steps/daemon_server_connection_steps.py
+++ b/features/steps/daemon_server_connection_steps.py
@@ -114,6 +114,20 @@
     _send_requests(context, respond, [Body()], 0.0)
 
 
+@when("a backend server sends an answer with {fault}")
+def step_malformed_answer(context: Any, fault: str) -> None:
+    def respond(writer: Any, path: str) -> None:
+        answer = _answer(path, "Server-Signature: a\r\n")
+        if fault.startswith("the status"):
+            status = fault.rpartition(" ")[2]
+            writer.write(answer.replace(b"200", status.encode(), 1))
+        else:
+            character = bytes.fromhex(fault.rpartition(" ")[2])
+            writer.write(answer.replace(b"Signature: a", b"Signature: " + character))
+
+    _send_requests(context, respond, [Body()], 0.0)
+
+
 @when("a backend server announces an idle time of 1 s and gets a second request")
 def step_idle_time(context: Any) -> None:
     # The client's margin is 1 s, so it does not reuse the connection at all.
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
@@ -18,6 +18,7 @@
 from ..calls import INLINE_BODY_LIMIT_BYTES
 from ..calls import UNKNOWN_LENGTH
 from ..http.message import decode_headers
+from ..http.message import has_control_character
 
 
 if TYPE_CHECKING:
@@ -40,6 +41,9 @@
 # closes the connection is lost.
 IDLE_MARGIN_SECONDS = 1.0
 NO_BODY_STATUS = frozenset({204, 304})
+INTERIM_STATUSES = frozenset({100, 102, 103})
+FIRST_FINAL_STATUS = 200
+LAST_FINAL_STATUS = 599
 # Refused requests that a connection remembers; with more it is not reused.
 REFUSED_KEYS_LIMIT = 256
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
@@ -298,6 +302,8 @@
     def _on_message(self, message: RawResponseMessage, payload: StreamReader) -> None:
         request, answer_future = self._request, self._answer
         assert request is not None and answer_future is not None
+        if message.code in INTERIM_STATUSES:
+            return
         if message.code in NO_BODY_STATUS:
             payload = EMPTY_PAYLOAD
         if answer_future.done() or not request.matches(message.code, message.headers):
@@ -306,6 +312,9 @@
             self._keeps_alive = self._keeps_alive and not answer_future.done()
             self._skip_body(payload)
             return
+        if not _can_be_forwarded(message):
+            self._fail(self.exchange_error("malformed status or header of an answer"))
+            return
         self._payload = payload
         length = message.headers.get("Content-Length")
         has_end = length is not None or message.chunked or payload is EMPTY_PAYLOAD
@@ -376,6 +385,13 @@
                 self._answer.set_exception(self.exchange_error(str(error)))
 
 
+def _can_be_forwarded(message: RawResponseMessage) -> bool:
+    """Return whether an answer that the parser accepts can be written to a caller."""
+    if not FIRST_FINAL_STATUS <= message.code <= LAST_FINAL_STATUS:
+        return False
+    return not has_control_character(message.raw_headers)
+
+
 async def _read_to_end(payload: StreamReader) -> None:
     try:
         while await payload.readany():
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -237,12 +237,14 @@
                 await previous.is_done.wait()
             if self.transport is not None:
                 await self._write(exchange, answer)
-        except (ConnectionError, OSError) as error:
-            self._log.write("answer not sent", step="answer", error=str(error))
         except MarjoramstepError as error:
-            # Reset, or the caller could take a truncated answer for a complete one.
             self._log.write("answer broke off", step=error.step, peer=error.peer)
             self.abort()
+        except Exception as error:
+            # Without a reset the caller could take a truncated answer for a complete
+            # one, or the next answer on the connection for this one.
+            self._log.write("answer not sent", step="answer", error=repr(error))
+            self.abort()
         finally:
             self._finish(exchange)
 
@@ -311,8 +313,8 @@
             self._is_closing = True
         elif not is_http_1_1:
             headers["Connection"] = "keep-alive"
-        await writer.write_headers(_status_line(answer.status), headers)
         try:
+            await writer.write_headers(_status_line(answer.status), headers)
             if omits_body:
                 await writer.write_eof()
             elif body.is_complete:
--- a/packages/daemon/src/marjoramstep_daemon/http/message.py
+++ b/packages/daemon/src/marjoramstep_daemon/http/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,6 +16,9 @@
     from ..calls import Body
     from ..calls import HeaderList
 
+# All but the horizontal tab (RFC 9110, 5.5). Parsers accept them, writers do not.
+_CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 @dataclass(slots=True)
 class HttpRequest:
@@ -57,3 +61,12 @@
     return [
         (name.decode("latin-1"), value.decode("latin-1")) for name, value in raw_headers
     ]
+
+
+def has_control_character(raw_headers: tuple[tuple[bytes, bytes], ...]) -> bool:
+    """Check the values of headers for characters that no header may hold.
+
+    :param raw_headers: pairs of name and value of a parsed message
+    :return: whether a value holds a control character
+    """
+    return any(_CONTROL_CHARACTER.search(value) for _, value in raw_headers)
