--- a/features/platform/heartbeats.feature
+++ b/features/platform/heartbeats.feature
@@ -29,6 +29,33 @@
     And server "i-1" born at 300 sends heartbeat 1 as "ready"
     Then the node knows a "ready" server "i-1"
 
+  # Guards against a server that is put back into use by a heartbeat that it sent before
+  # it deregistered and that arrives after that.
+  Scenario: A late heartbeat does not bring back a server that has deregistered
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And server "i-1" deregisters
+    And server "i-1" born at 100 sends heartbeat 3 as "ready"
+    Then the node knows a "gone" server "i-1"
+
+  Scenario: A late heartbeat of a server whose departure is all that the node knows of it
+    When server "i-1" deregisters
+    And server "i-1" born at 100 sends heartbeat 3 as "ready"
+    Then the node knows no server
+
+  Scenario: A departure does not concern a later start under the same id
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And server "i-1" deregisters
+    And server "i-1" born at 300 sends heartbeat 1 as "ready"
+    Then the node knows a "ready" server "i-1"
+
+  # A deregistration may itself be late and then name the id of the next start.
+  Scenario: A server that still sends heartbeats long after a departure is in use
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And server "i-1" deregisters
+    And 31 s pass
+    And server "i-1" born at 100 sends heartbeat 22 as "ready"
+    Then the node knows a "ready" server "i-1"
+
   Scenario Outline: A malformed heartbeat is refused and changes nothing
     When server "i-1" born at 100 sends heartbeat 1 as "ready"
     And a heartbeat with <fault> arrives
--- a/features/steps/platform_heartbeats_steps.py
+++ b/features/steps/platform_heartbeats_steps.py
@@ -11,6 +11,7 @@
 from behave import when
 from daemon_harness import CLOCK
 from daemon_harness import run
+from marjoramstep_core.clock import ManualClock
 from marjoramstep_core.ids import NodeId
 from marjoramstep_daemon.backend_servers.local_server import LocalServer
 from marjoramstep_daemon.http.server import HttpServer
@@ -61,7 +62,8 @@
 
 @given("a node whose heartbeat interface has received nothing")
 def step_node(context: Any) -> None:
-    context.local_server = LocalServer(CLOCK, NodeId("n"))
+    context.clock = ManualClock(wall_start_ms=250)
+    context.local_server = LocalServer(context.clock, NodeId("n"))
     context.heartbeats = HeartbeatApi(context.local_server, EventLog(CLOCK, "test"))
 
 
@@ -79,6 +81,11 @@
     assert run(_send(context, "DELETE", name, b"")) == 200
 
 
+@when("{seconds:d} s pass")
+def step_pass(context: Any, seconds: int) -> None:
+    context.clock.advance_ms(seconds * 1_000)
+
+
 @when("a heartbeat with {fault} arrives")
 def step_malformed(context: Any, fault: str) -> None:
     context.status = run(_send(context, "PUT", "i-1", _malformed_heartbeat(fault)))
@@ -94,3 +101,8 @@
     local_server = context.local_server
     assert local_server.state.value == state, local_server.state
     assert local_server.announcement.instance == name, local_server.announcement
+
+
+@then("the node knows no server")
+def step_no_server(context: Any) -> None:
+    assert context.local_server.announcement is None, context.local_server.announcement
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
@@ -10,6 +10,7 @@
 
 from .announcement import invalid_announcement
 from .client import BackendServerClient
+from .departures import Departures
 from .protocol import NativeBackendProtocol
 
 
@@ -49,6 +50,7 @@
         self._protocol = protocol or NativeBackendProtocol()
         self._timeout_ms = timeout_ms
         self._is_draining = False
+        self._departures = Departures(clock)
         self.on_change: Callable[[], None] = lambda: None
         self.peer_address: Address = ("", 0)
         self._announced_ms = float("-inf")
@@ -120,6 +122,26 @@
             self.announcement = replace(self.announcement, state=ServerState.GONE)
             self.on_change()
 
+    def deregister(self, instance: str) -> None:
+        """Mark an incarnation as gone for good.
+
+        :param instance: id of the incarnation, which need not be the one in use
+        """
+        announcement = self.announcement
+        is_current = announcement is not None and announcement.instance == instance
+        incarnation = announcement.incarnation if announcement and is_current else None
+        self._departures.record(instance, incarnation)
+        if is_current:
+            self.mark_gone()
+
+    def has_left(self, announcement: Announcement) -> bool:
+        """Return whether the incarnation of an announcement has deregistered.
+
+        :param announcement: an announcement, which may be late
+        :return: whether it must not be applied
+        """
+        return self._departures.include(announcement.instance, announcement.incarnation)
+
     def check_announcement_age(self) -> None:
         """Mark the backend server as gone if its announcements have stopped."""
         if self._clock.now_ms() - self._announced_ms > self._timeout_ms:
--- a/packages/platform/src/marjoramstep_platform/heartbeats.py
+++ b/packages/platform/src/marjoramstep_platform/heartbeats.py
@@ -135,14 +135,20 @@
 
     async def _apply(self, heartbeat: Heartbeat) -> None:
         last = self._last
-        if last is not None and heartbeat.order <= last.order:
+        announcement = heartbeat.to_announcement()
+        is_old = last is not None and heartbeat.order <= last.order
+        has_left = self._local_server.has_left(announcement)
+        if is_old or has_left:
             self._log.write(
                 "late heartbeat ignored",
                 step="apply heartbeat",
                 peer=heartbeat.instance,
+                started_ms=heartbeat.started_ms,
+                sequence=heartbeat.sequence,
+                has_left=has_left,
             )
             return
-        await self._local_server.announce(heartbeat.to_announcement())
+        await self._local_server.announce(announcement)
         if last is None or last.state != heartbeat.state:
             self._log.write(
                 "backend server announced",
@@ -156,11 +162,7 @@
 
     async def _delete(self, request: web.Request) -> web.Response:
         instance = request.match_info["instance"]
-        last = self._last
-        if last is None or last.instance != instance:
-            # A newer incarnation has already announced itself, or this one never did.
-            return web.json_response({})
-        self._local_server.mark_gone()
+        self._local_server.deregister(instance)
         self._log.write("backend server left", step="apply heartbeat", peer=instance)
         return web.json_response({})
 
