Skip a refusal without an id on a connection that is in use again

What callers saw: requests that may not be repeated were answered 503 and ran (REFUSED), or ran at a second server (TWICE).

Cause: an answer without an id was taken for the awaited one if its status was 400 or more. A faulty server that writes an earlier refusal once more on a kept connection so refused the request that it had just begun to run.

Change: an answer without an id counts only as the first one of its connection; elsewhere it is skipped and the real answer is awaited. Skipped answers are logged with the request that waits, and counted: until now no log told this apart from a real refusal.

Evidence: "A refusal that names no request is not an answer on a connection in use again" failed before (Refused in place of the answer).

--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -57,3 +57,9 @@
       | the status 099               |
       | the status 101               |
       | the status 600               |
+
+  # Guards against a request that is refused as not run while it runs, or runs at a second
+  # server: the server writes an earlier refusal once more, without the id of a request.
+  Scenario: A refusal that names no request is not an answer on a connection in use again
+    When a backend server that has answered a request refuses one without an id before its next answer
+    Then the second request is answered
--- a/features/platform/requests.feature
+++ b/features/platform/requests.feature
@@ -48,6 +48,17 @@
       | 200    | Attempt-Id: b; Server-Signature: x       | of another request  |
       | 200    | Server-Signature: x                      | of another request  |
 
+  # Only the first exchange on a connection tells to which request such a response belongs.
+  Scenario Outline: A response without an id on a connection in use again
+    Then on a connection in use again a response with status <status> and headers "<headers>" is one of another request
+
+    Examples:
+      | status | headers                                  |
+      | 503    | Not-Executed: 1                          |
+      | 421    | Instance-Id: i-2                         |
+      | 500    | Server-Signature: x                      |
+      | 200    | Server-Signature: x                      |
+
   Scenario Outline: A sub-call is linked to the running request by its attempt id
     When a request with the attempt id "<id>" arrives while "root1" runs here
     Then it is a sub-call of "<parent>"
--- a/features/steps/daemon_server_connection_steps.py
+++ b/features/steps/daemon_server_connection_steps.py
@@ -33,7 +33,7 @@
 class EchoProtocol(NativeBackendProtocol):
     """Matches answers to requests by a header that echoes the request path."""
 
-    def matches(self, call: Any, status: int, headers: Any) -> bool:
+    def matches(self, call: Any, status: int, headers: Any, *, is_first: bool) -> bool:
         """Compare the echoed path with that of the call."""
         return headers.get("Answer-Of") == call.path
 
@@ -291,3 +291,24 @@
     first, second = context.results
     assert isinstance(first, Refused), first
     assert isinstance(second, Answer), second
+
+
+@when(
+    "a backend server that has answered a request refuses one without an id before its "
+    "next answer"
+)
+def step_refusal_without_id(context: Any) -> None:
+    unmarked = REFUSAL.replace(b"Attempt-Id: a\r\n", b"")
+
+    def respond(writer: Any, _connection: int, request: int) -> None:
+        if request == 0:
+            writer.write(_signed_answer("a"))
+        else:
+            writer.write(unmarked + _signed_answer("b"))
+
+    _send_ids(context, respond, ["a", "b"], 10)
+
+
+@then("the second request is answered")
+def step_second_answered(context: Any) -> None:
+    assert all(isinstance(reply, Answer) for reply in context.results), context.results
--- a/features/steps/platform_requests_steps.py
+++ b/features/steps/platform_requests_steps.py
@@ -111,11 +111,23 @@
     'a response with status {status:d} and headers "{text}" is classified as {meaning}'
 )
 def step_classified(context: Any, status: int, text: str, meaning: str) -> None:
+    _check_meaning(status, text, meaning, is_first=True)
+
+
+@then(
+    "on a connection in use again a response with status {status:d} and headers "
+    '"{text}" is one of another request'
+)
+def step_of_another_request(context: Any, status: int, text: str) -> None:
+    _check_meaning(status, text, "of another request", is_first=False)
+
+
+def _check_meaning(status: int, text: str, meaning: str, *, is_first: bool) -> None:
     pairs = (part.split(":", 1) for part in text.split(";"))
     headers = CIMultiDict((name.strip(), value.strip()) for name, value in pairs)
     protocol = PlatformBackendProtocol()
     call = make_call(method="GET", request_key="a", body=Body())
-    if not protocol.matches(call, status, headers):
+    if not protocol.matches(call, status, headers, is_first=is_first):
         found = "of another request"
     else:
         verdict = protocol.classify(call, status, headers)
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
@@ -27,6 +27,7 @@
     from collections.abc import Callable
 
     from marjoramstep_core.addresses import Address
+    from marjoramstep_core.ids import RequestKey
     from multidict import CIMultiDict
 
     from ..calls import Call
@@ -71,6 +72,8 @@
     :param connections: maximum number of connections
     :param protocol: interprets the answers
     :param on_open: called for each new connection
+    :param on_skipped: called with the key of the request that waits and the status of
+        each answer that is not its own
     """
 
     def __init__(
@@ -79,10 +82,11 @@
         connections: int,
         protocol: BackendProtocol,
         on_open: Callable[[], None] = lambda: None,
+        on_skipped: Callable[[RequestKey, int], None] = lambda _key, _status: None,
     ) -> None:
         self._peer = f"{address[0]}:{address[1]}"
         self._protocol = protocol
-        self._pool = ConnectionPool(address, connections, on_open)
+        self._pool = ConnectionPool(address, connections, on_open, on_skipped)
 
     async def send(
         self, call: Call, headers: CIMultiDict[str]
@@ -103,6 +107,7 @@
         except NotConnectedError as error:
             raise self._error(error, BackendFault.NOT_CONNECTED) from error
         request = OutgoingRequest(
+            call.request_key,
             call.method,
             call.path,
             headers,
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/connection_pool.py
@@ -29,15 +29,22 @@
     :param address: address of the backend server
     :param limit: maximum number of connections
     :param on_open: called for each new connection
+    :param on_skipped: called with the key of the request that waits and the status of
+        each answer that is not its own
     """
 
     def __init__(
-        self, address: Address, limit: int, on_open: Callable[[], None] = lambda: None
+        self,
+        address: Address,
+        limit: int,
+        on_open: Callable[[], None],
+        on_skipped: Callable[[RequestKey, int], None],
     ) -> None:
         self._address = address
         self._peer = f"{address[0]}:{address[1]}"
         self._limit = limit
         self._on_open = on_open
+        self._on_skipped = on_skipped
         self._idle: list[ServerConnection] = []
         self._open: set[ServerConnection] = set()
         self._is_closed = False
@@ -110,7 +117,7 @@
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
                     lambda: ServerConnection(
-                        self._peer, self._on_free, self._on_closed
+                        self._peer, self._on_free, self._on_closed, self._on_skipped
                     ),
                     host,
                     port,
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
@@ -20,6 +20,7 @@
     from marjoramstep_core.addresses import Address
     from marjoramstep_core.clock import Clock
     from marjoramstep_core.ids import NodeId
+    from marjoramstep_core.ids import RequestKey
     from marjoramstep_core.ids import ServiceName
 
     from .announcement import Announcement
@@ -52,6 +53,9 @@
         self._is_draining = False
         self._departures = Departures(clock)
         self.on_change: Callable[[], None] = lambda: None
+        self.on_answer_skipped: Callable[[RequestKey, int], None] = (
+            lambda _key, _status: None
+        )
         self.peer_address: Address = ("", 0)
         self._announced_ms = float("-inf")
         self._sequence = 0
@@ -103,12 +107,16 @@
                 announcement.connections,
                 self._protocol,
                 self._count_connection,
+                self._report_skipped_answer,
             )
         if previous != announcement:
             self.on_change()
         if old_client is not None and old_client is not self.client:
             await old_client.close()
 
+    def _report_skipped_answer(self, request_key: RequestKey, status: int) -> None:
+        self.on_answer_skipped(request_key, status)
+
     def _count_connection(self) -> None:
         self.opened_connections += 1
 
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/protocol.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/protocol.py
@@ -41,12 +41,15 @@
         :return: all headers except hop-by-hop ones
         """
 
-    def matches(self, call: Call, status: int, headers: Mapping[str, str]) -> bool:
+    def matches(
+        self, call: Call, status: int, headers: Mapping[str, str], *, is_first: bool
+    ) -> bool:
         """Check whether an answer belongs to a call.
 
         :param call: the call that is waiting for its answer
         :param status: status of the answer
         :param headers: headers of the answer
+        :param is_first: whether the connection has carried no other request
         :return: false for a late answer to another request
         """
 
@@ -81,7 +84,9 @@
         headers[http_headers.DEADLINE_MS] = str(budget_ms)
         return headers
 
-    def matches(self, call: Call, status: int, headers: Mapping[str, str]) -> bool:
+    def matches(
+        self, call: Call, status: int, headers: Mapping[str, str], *, is_first: bool
+    ) -> bool:
         """Accept each answer; answers carry no id and are matched by their order."""
         return True
 
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
@@ -6,6 +6,7 @@
 import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpResponseParser
@@ -53,19 +54,34 @@
     """The exchange ended without a complete answer; the request may have run."""
 
 
+class AnswerMatcher(Protocol):
+    """Decides whether an answer belongs to a request."""
+
+    def __call__(
+        self, status: int, headers: Mapping[str, str], *, is_first: bool
+    ) -> bool:
+        """Check an answer.
+
+        :param status: status of the answer
+        :param headers: headers of the answer
+        :param is_first: whether the connection has carried no other request
+        :return: false for a late answer to another request
+        """
+
+
 @dataclass(frozen=True)
 class OutgoingRequest:
     """A request to the backend server.
 
-    :param matches: decides by status and headers whether an answer belongs to this
-        request
+    :param matches: decides whether an answer belongs to this request
     """
 
+    request_key: RequestKey
     method: str
     target: str
     headers: CIMultiDict[str]
     body: Body
-    matches: Callable[[int, Mapping[str, str]], bool]
+    matches: AnswerMatcher
 
 
 class ServerAnswer:
@@ -142,6 +158,8 @@
     :param peer: address of the backend server
     :param on_free: called with this connection when it can take another request
     :param on_closed: called with this connection when it has closed
+    :param on_skipped: called with the key of the request that waits and the status of
+        an answer that is not its own
     """
 
     def __init__(
@@ -149,11 +167,13 @@
         peer: str,
         on_free: Callable[[ServerConnection], None],
         on_closed: Callable[[ServerConnection], None],
+        on_skipped: Callable[[RequestKey, int], None],
     ) -> None:
         super().__init__(asyncio.get_running_loop(), None)
         self._peer = peer
         self._on_free = on_free
         self._on_closed = on_closed
+        self._on_skipped = on_skipped
         self._request: OutgoingRequest | None = None
         self._answer: asyncio.Future[ServerAnswer] | None = None
         self._payload: StreamReader | None = None
@@ -161,6 +181,7 @@
         self._skip_tasks: set[asyncio.Task[None]] = set()
         self._keeps_alive = True
         self._refused_keys: set[RequestKey] = set()
+        self._request_count = 0
         self._idle_limit_seconds = DEFAULT_IDLE_SECONDS
         self._idle_since = self._loop.time()
         self.upload_error: MarjoramstepError | None = None
@@ -223,6 +244,7 @@
         :return: the answer, whose body may still be arriving
         :raises BrokenExchangeError: if the headers do not arrive in full
         """
+        self._request_count += 1
         self._request = request
         self._payload = None
         self._keeps_alive = True
@@ -306,10 +328,13 @@
             return
         if message.code in NO_BODY_STATUS:
             payload = EMPTY_PAYLOAD
-        if answer_future.done() or not request.matches(message.code, message.headers):
+        if answer_future.done() or not request.matches(
+            message.code, message.headers, is_first=self._request_count == 1
+        ):
             # An answer before the matching one is a late answer to an earlier request
             # and is skipped. After a surplus answer the connection is not reused.
             self._keeps_alive = self._keeps_alive and not answer_future.done()
+            self._on_skipped(request.request_key, message.code)
             self._skip_body(payload)
             return
         if not _can_be_forwarded(message):
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -48,6 +48,7 @@
 
 if TYPE_CHECKING:
     from marjoramstep_core.clock import Clock
+    from marjoramstep_core.ids import RequestKey
     from marjoramstep_policy.routing import Router
     from marjoramstep_wire.messages import Hello
 
@@ -100,6 +101,7 @@
             protocol,
             self._node_settings.announce_timeout_ms,
         )
+        local_server.on_answer_skipped = self._log_skipped_answer
         gate = self._build_gate()
         links = self._build_links()
         router = ROUTERS.get(self._variant(decisions.ROUTING, "zone-first", "uniform"))(
@@ -164,6 +166,15 @@
             quarantine=quarantine,
         )
 
+    def _log_skipped_answer(self, request_key: RequestKey, status: int) -> None:
+        self._metrics.count_event("answer skipped")
+        self._log.write_decision(
+            "answer of another request skipped",
+            request_key,
+            step="send to backend server",
+            status=status,
+        )
+
     def _build_gate(self) -> AdmissionGate:
         controller = ADMISSION_VARIANTS.get(self._admission_variant())
         return AdmissionGate(self._clock, controller(self._clock, INITIAL_SLOTS))
--- a/packages/platform/src/marjoramstep_platform/backend_protocol.py
+++ b/packages/platform/src/marjoramstep_platform/backend_protocol.py
@@ -50,19 +50,24 @@
             headers[names.EXPECTED_INSTANCE] = announcement.instance
         return headers
 
-    def matches(self, call: Call, status: int, headers: Mapping[str, str]) -> bool:
+    def matches(
+        self, call: Call, status: int, headers: Mapping[str, str], *, is_first: bool
+    ) -> bool:
         """Check that the response echoes the id of the call.
 
-        A response without an id matches if its status is 400 or more.
+        A response without an id is accepted if its status is 400 or more and no other
+        request was sent on its connection: a late copy of an earlier one has no id
+        either.
 
         :param call: the call that waits for the response
         :param status: status of the response
         :param headers: headers of the response
+        :param is_first: whether the connection has carried no other request
         :return: false if the response belongs to another request
         """
         echoed = headers.get(names.ATTEMPT_ID)
         if echoed is None:
-            return status >= FIRST_ERROR_STATUS
+            return is_first and status >= FIRST_ERROR_STATUS
         return echoed == call.request_key
 
     def classify(
