Answer 400 to a configuration that cannot be read in full

Cause: an unknown field nested 254 levels deep, or a list as route_type, raised TypeError, which was answered 500. The operator is not told that the configuration is invalid and sends it again.

Change: both are refused as invalid.

Evidence: the examples "kind as a list" and "deep nesting" ended with TypeError before the change.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -34,6 +34,8 @@
       | version as a number       |
       | unknown kind              |
       | resources as an object    |
+      | kind as a list            |
+      | deep nesting              |
 
   Scenario: Decoding damaged input gives a configuration or an invalid-input error
     Then decoding 300 damaged configurations gives a configuration or an invalid-input error
--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -86,6 +86,13 @@
         document["version"] = 7
     elif fault == "unknown kind":
         safe["route_type"] = "risky"
+    elif fault == "kind as a list":
+        safe["route_type"] = ["safe"]
+    elif fault == "deep nesting":
+        nested: list[Any] = []
+        for _ in range(300):
+            nested = [nested]
+        document["note"] = nested
     elif fault == "resources as an object":
         document["resources"] = {}
     else:
--- a/packages/platform/src/marjoramstep_platform/configuration.py
+++ b/packages/platform/src/marjoramstep_platform/configuration.py
@@ -137,7 +137,7 @@
 ) -> dict[str, object]:
     spec, name = resource.spec, resource.name
     route_type = spec.get("route_type")
-    if route_type not in ROUTE_TYPES:
+    if not isinstance(route_type, str) or route_type not in ROUTE_TYPES:
         raise _invalid_configuration(
             f"{name}: route_type: expected safe, unsafe or upload"
         )
@@ -233,7 +233,11 @@
 
 
 def _digest(document: dict[str, Any]) -> EditKey:
-    data = orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+    try:
+        data = orjson.dumps(document, option=orjson.OPT_SORT_KEYS)
+    except TypeError as error:
+        # The encoder accepts fewer levels of nesting than the decoder.
+        raise _invalid_configuration(f"cannot be read in full: {error}") from error
     return EditKey(hashlib.sha256(data).hexdigest())
 
 
