Refuse heartbeats with numbers, addresses or names out of range

What was seen: after a heartbeat of another writer with 2^31 slots or a start of 2^63 a node no longer followed the configuration (CONFIG); ports out of range, control characters in names and ids were applied, some ended in 500.

Cause: the interface checked types, not ranges, and the task that speaks with the replicas ended with the encoder's OverflowError.

Change: each field is checked against its range where it enters; a message that cannot be encoded is a ProtocolError, which senders log.

--- a/features/platform/heartbeats.feature
+++ b/features/platform/heartbeats.feature
@@ -70,3 +70,27 @@
       | no service          |
       | a list as info      |
       | a faulty address    |
+
+  # Guards against a node that stops following the replicas: what it sends them of its
+  # server could not be encoded, and the task that speaks with them ended.
+  Scenario Outline: A heartbeat out of range is refused and changes nothing
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And a heartbeat with <fault> arrives
+    Then the heartbeat is answered with 400
+    And the node knows a "ready" server "i-1"
+
+    Examples:
+      | fault                               |
+      | too many slots                      |
+      | a start above 64 bits               |
+      | a sequence above 64 bits            |
+      | the port 99999                      |
+      | the port 0                          |
+      | the port ²                          |
+      | a port of 5000 digits               |
+      | a control character in its service  |
+      | deep nesting                        |
+
+  Scenario: A heartbeat of an instance that no header can name is refused
+    When a heartbeat of an instance with a control character in its id arrives
+    Then the heartbeat is answered with 400
--- a/features/steps/platform_heartbeats_steps.py
+++ b/features/steps/platform_heartbeats_steps.py
@@ -42,6 +42,20 @@
         document["info"] = []
     elif fault == "a faulty address":
         document["address"] = "nowhere"
+    elif fault.startswith("the port "):
+        document["address"] = "10.1.0.8:" + fault.removeprefix("the port ")
+    elif fault == "a port of 5000 digits":
+        document["address"] = "10.1.0.8:" + "9" * 5_000
+    elif fault == "too many slots":
+        document["info"]["slots"] = 2**31
+    elif fault == "a start above 64 bits":
+        document["born"] = 2**63
+    elif fault == "a sequence above 64 bits":
+        document["status"]["seq"] = 2**63
+    elif fault == "a control character in its service":
+        document["info"]["service"] = "a\r\nb"
+    elif fault == "deep nesting":
+        return b'{"info":' + b"[" * 30_000 + b"]" * 30_000 + b"}"
     return json.dumps(document).encode()
 
 
@@ -106,3 +120,9 @@
 @then("the node knows no server")
 def step_no_server(context: Any) -> None:
     assert context.local_server.announcement is None, context.local_server.announcement
+
+
+@when("a heartbeat of an instance with a control character in its id arrives")
+def step_malformed_instance(context: Any) -> None:
+    data = json.dumps(_heartbeat(sequence=5)).encode()
+    context.status = run(_send(context, "PUT", "i%01", data))
--- a/features/steps/wire_connection_steps.py
+++ b/features/steps/wire_connection_steps.py
@@ -8,12 +8,16 @@
 from behave import given
 from behave import then
 from behave import when
+from marjoramstep_core.errors import ProtocolError
 from marjoramstep_core.ids import ZoneName
 from marjoramstep_core.states import ConnectionClass
 from marjoramstep_core.states import Role
+from marjoramstep_wire.codec import encode_frame
 from marjoramstep_wire.connection import PeerConnection
 from marjoramstep_wire.handshake import make_hello
+from marjoramstep_wire.messages import Member
 from marjoramstep_wire.messages import Ping
+from marjoramstep_wire.messages import RegisterServer
 from marjoramstep_wire.messages import TableNotice
 from marjoramstep_wire.traffic import PROCESS_TRAFFIC
 
@@ -155,3 +159,24 @@
 def step_bytes(context: Any) -> None:
     for key, frames in context.written.items():
         assert _sent_since(context, key)[1] == sum(map(len, frames)), key
+
+
+@then("encoding a member with {slots:d} slots raises a protocol error")
+def step_out_of_range(context: Any, slots: int) -> None:
+    member = Member(
+        server_id="s",
+        node_id="n",
+        service_name="x",
+        address="10.0.0.1:80",
+        zone="a",
+        slots=slots,
+        connections=1,
+        state="ready",
+        incarnation=1,
+        sequence=1,
+    )
+    try:
+        encode_frame(RegisterServer(member=member, lease_ms=1_000.0))
+    except ProtocolError:
+        return
+    raise AssertionError("the message was encoded")
--- a/features/wire/connection.feature
+++ b/features/wire/connection.feature
@@ -12,3 +12,7 @@
     When 3 pings are sent on the first connection and 5 table notices on the second
     Then the account has 3 pings within the zone and 5 table notices between zones
     And the bytes in the account are those that were written
+
+  # Guards against a task that ends with an error that nobody handles.
+  Scenario: A message with a number out of range raises a protocol error
+    Then encoding a member with 2147483648 slots raises a protocol error
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/announcement.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/announcement.py
@@ -18,6 +18,7 @@
 
 MAX_SLOTS = 100_000
 MAX_PORT = 65_535
+MAX_INCARNATION = 2**62
 ADDRESS_PATTERN = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
 SERVICE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 
@@ -64,15 +65,21 @@
             )
         return cls(
             ServiceName(service),
-            _address(document.get("address")),
+            parse_address(document.get("address")),
             _integer(document, "slots", 1, MAX_SLOTS),
             _integer(document, "connections", 1, MAX_SLOTS),
             ServerState(state),
-            _integer(document, "incarnation", 0, 2**62),
+            _integer(document, "incarnation", 0, MAX_INCARNATION),
         )
 
 
-def _address(value: object) -> Address:
+def parse_address(value: object) -> Address:
+    """Parse the address of a backend server.
+
+    :param value: text such as ``10.0.0.1:8000``
+    :return: IPv4 address and port
+    :raises InvalidInputError: if it is not such a text
+    """
     if isinstance(value, str) and ADDRESS_PATTERN.fullmatch(value):
         host, _, port = value.rpartition(":")
         try:
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link.py
@@ -190,7 +190,7 @@
         version = self._table_version()
         try:
             connection.send(to_call_start(call, stream_id, budget_ms, version))
-        except ConnectionFailedError as error:
+        except MarjoramstepError as error:
             self._streams.pop(stream_id, None)
             return Failed(Reason.CONNECTION_LOST, error.message)
         if not call.body.is_complete:
--- a/packages/platform/src/marjoramstep_platform/heartbeats.py
+++ b/packages/platform/src/marjoramstep_platform/heartbeats.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 from typing import Any
@@ -12,7 +13,10 @@
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.states import ServerState
+from marjoramstep_daemon.backend_servers.announcement import MAX_INCARNATION
+from marjoramstep_daemon.backend_servers.announcement import MAX_SLOTS
 from marjoramstep_daemon.backend_servers.announcement import Announcement
+from marjoramstep_daemon.backend_servers.announcement import parse_address
 
 
 if TYPE_CHECKING:
@@ -22,6 +26,9 @@
 BODY_LIMIT_BYTES = 65_536
 # Connections in addition to one per slot, for responses that are still being read.
 SPARE_CONNECTIONS = 32
+MAX_SEQUENCE = 2**62
+# Ids and names of services are sent on in headers.
+_NAME = re.compile(r"[!-~]{1,128}")
 _STATES = {"ready": ServerState.READY, "draining": ServerState.DRAINING}
 
 
@@ -64,25 +71,28 @@
         :param instance: id of the server process
         :param data: JSON
         :return: the heartbeat
-        :raises InvalidInputError: if a field is missing or of another type
+        :raises InvalidInputError: if a field is missing, of another type or out of
+            range
         """
         document = _parse_object(_parse_json(data), "heartbeat")
         info = _parse_object(document.get("info"), "info")
         status = _parse_object(document.get("status"), "status")
         service = info.get("service")
         state = status.get("state")
-        if not isinstance(service, str) or not service:
+        if not isinstance(service, str) or not _NAME.fullmatch(service):
             raise _invalid_heartbeat("info.service: expected a name")
+        if not _NAME.fullmatch(instance):
+            raise _invalid_heartbeat("expected an id of printable characters")
         if not isinstance(state, str) or state not in _STATES:
             raise _invalid_heartbeat("status.state: expected ready or draining")
         return cls(
             instance,
             ServiceName(service),
-            _parse_address(document.get("address")),
-            _parse_integer(info.get("slots"), "info.slots", 1),
+            parse_address(document.get("address")),
+            _parse_integer(info.get("slots"), "info.slots", 1, MAX_SLOTS),
             _STATES[state],
-            _parse_integer(document.get("born", 0), "born", 0),
-            _parse_integer(status.get("seq"), "status.seq", 0),
+            _parse_integer(document.get("born", 0), "born", 0, MAX_INCARNATION),
+            _parse_integer(status.get("seq"), "status.seq", 0, MAX_SEQUENCE),
             parse_duration_ms(status.get("warmup_left", "0ms"), "status.warmup_left"),
         )
 
@@ -180,20 +190,13 @@
     return value
 
 
-def _parse_integer(value: object, name: str, minimum: int) -> int:
-    if isinstance(value, bool) or not isinstance(value, int) or value < minimum:
-        raise _invalid_heartbeat(f"{name}: expected a whole number from {minimum}")
+def _parse_integer(value: object, name: str, minimum: int, maximum: int) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise _invalid_heartbeat(f"{name}: expected a whole number")
+    if not minimum <= value <= maximum:
+        raise _invalid_heartbeat(f"{name}: expected {minimum} to {maximum}")
     return value
 
 
-def _parse_address(value: object) -> tuple[str, int]:
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    if not host or not port.isdigit():
-        raise _invalid_heartbeat(
-            "address: expected a host and a port, such as 10.0.0.1:8000"
-        )
-    return host, int(port)
-
-
 def _invalid_heartbeat(text: str) -> InvalidInputError:
     return InvalidInputError(text, step="read heartbeat", peer="backend server")
--- a/packages/wire/src/marjoramstep_wire/codec.py
+++ b/packages/wire/src/marjoramstep_wire/codec.py
@@ -48,6 +48,7 @@
     MemoryError,
     RecursionError,
 )
+ENCODE_ERRORS = (ValueError, TypeError, OverflowError)
 _PROTOCOL = TBinaryProtocolAccelerated(TMemoryBuffer())
 _SPECS = {cls: [cls, cls.thrift_spec] for cls in TYPE_CODES}
 
@@ -92,9 +93,15 @@
 
     :param message: one of the registered messages
     :return: the frame's bytes
+    :raises ProtocolError: if a field is out of range
     """
     cls = type(message)
-    payload = fastbinary.encode_binary(message, _SPECS[cls])
+    try:
+        payload = fastbinary.encode_binary(message, _SPECS[cls])
+    except ENCODE_ERRORS as error:
+        raise ProtocolError(
+            f"cannot encode {cls.__name__}: {error}", step="encode message"
+        ) from error
     return FRAME_HEADER.pack(len(payload) + 1, TYPE_CODES[cls]) + bytes(payload)
 
 
