Show that an answer that stops anywhere is a broken one

Other operators report of servers that stop in the middle of an answer's head and close, and of clients that then get a 200 with an empty or short body.

--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -63,3 +63,14 @@
   Scenario: A refusal that names no request is not an answer on a connection in use again
     When a backend server that has answered a request refuses one without an id before its next answer
     Then the second request is answered
+
+  # Guards against a caller that gets a 200 with an empty or short body, framed as whole.
+  Scenario Outline: An answer that stops anywhere before its end is a broken answer
+    When a backend server closes after each part of an answer framed by <framing>
+    Then the client reports a broken answer for each
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+      | a close  |
--- a/features/steps/daemon_server_connection_steps.py
+++ b/features/steps/daemon_server_connection_steps.py
@@ -312,3 +312,38 @@
 @then("the second request is answered")
 def step_second_answered(context: Any) -> None:
     assert all(isinstance(reply, Answer) for reply in context.results), context.results
+
+
+WHOLE_ANSWERS = {
+    "a length": _answer("/new"),
+    "chunks": (
+        b"HTTP/1.1 200 OK\r\nAnswer-Of: /new\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"4\r\n/new\r\n0\r\n\r\n"
+    ),
+    "a close": _answer("/new", length=False, extra="Connection: close\r\n"),
+}
+
+
+@when("a backend server closes after each part of an answer framed by {framing}")
+def step_cut_everywhere(context: Any, framing: str) -> None:
+    whole = WHOLE_ANSWERS[framing]
+    end = whole.index(b"\r\n\r\n") + 4 if framing == "a close" else len(whole)
+    # The last chunk ends the body; what may follow it are trailers.
+    end -= len(b"\r\n") if framing == "chunks" else 0
+    cuts = iter(range(end))
+
+    def respond(writer: Any, _path: str) -> None:
+        writer.write(whole[: next(cuts)])
+        writer.close()
+
+    _send_requests(context, respond, [Body() for _ in range(end)], 0.0)
+
+
+@then("the client reports a broken answer for each")
+def step_all_broken(context: Any) -> None:
+    wrong = [
+        position
+        for position, result in enumerate(context.results)
+        if not isinstance(result, BackendServerError)
+    ]
+    assert not wrong, wrong
