Limit what is read of answers that are not passed on

The body of a refusal and of an answer to another request were read for as long as the server sent them, so that the connection could be used again.

The answer and the request of an exchange have modules of their own now.

--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -74,3 +74,20 @@
       | a length |
       | chunks   |
       | a close  |
+
+  # Guards against a node that holds, or reads for as long as its server likes, what is
+  # not passed on to a caller.
+  Scenario Outline: An answer without end that is not passed on is given up
+    When a backend server sends <kind> without end
+    Then the client reports a broken answer
+
+    Examples:
+      | kind                         |
+      | a head of many lines         |
+      | a head of one line           |
+      | bytes without a line         |
+      | an answer to another request |
+
+  Scenario: A refusal whose body has no end is a refusal
+    When a backend server sends a refusal without end
+    Then the client reports a refusal
--- a/features/steps/daemon_server_connection_steps.py
+++ b/features/steps/daemon_server_connection_steps.py
@@ -347,3 +347,63 @@
         if not isinstance(result, BackendServerError)
     ]
     assert not wrong, wrong
+
+
+# Far more than any limit on what is read of an answer that is not passed on.
+ENDLESS_PARTS = 20_000
+PART = b"X-Part: " + b"a" * 1_000 + b"\r\n"
+ENDLESS_STARTS = {
+    "a head of many lines": (b"HTTP/1.1 200 OK\r\n", PART),
+    "a head of one line": (b"HTTP/1.1 200 OK\r\nX: ", b"a" * 1_000),
+    "bytes without a line": (b"", b"a" * 1_000),
+    "a refusal": (
+        b"HTTP/1.1 503 Service Unavailable\r\nAttempt-Id: a\r\nNot-Executed: 1\r\n\r\n",
+        PART,
+    ),
+    "an answer to another request": (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: b\r\nContent-Length: 99000000\r\n\r\n",
+        PART,
+    ),
+}
+
+
+@when("a backend server sends {kind} without end")
+def step_endless(context: Any, kind: str) -> None:
+    start, part = ENDLESS_STARTS[kind]
+    context.sent_bytes = 0
+
+    async def handle(reader: Any, writer: Any) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(start)
+            for _ in range(ENDLESS_PARTS):
+                writer.write(part)
+                await writer.drain()
+                context.sent_bytes += len(part)
+            await reader.read()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+    async def scenario() -> None:
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        client = BackendServerClient(address, 10, PlatformBackendProtocol())
+        call = make_call(key="a", method="GET", body=Body())
+        try:
+            async with asyncio.timeout(5.0):
+                context.results = [await client.send(call, CIMultiDict({"Host": "s"}))]
+        except (BackendServerError, TimeoutError) as error:
+            context.results = [error]
+        await client.close()
+        server.close()
+
+    run(scenario())
+
+
+@then("the client reports a refusal")
+def step_refusal(context: Any) -> None:
+    (result,) = context.results
+    assert isinstance(result, Refused), result
+    assert context.sent_bytes < ENDLESS_PARTS * len(PART), context.sent_bytes
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/client.py
@@ -18,8 +18,8 @@
 from ..http_headers import select_forwarded_headers
 from .connection_pool import ConnectionPool
 from .connection_pool import NotConnectedError
-from .server_connection import BrokenExchangeError
-from .server_connection import OutgoingRequest
+from .outgoing_request import OutgoingRequest
+from .server_answer import BrokenExchangeError
 
 
 if TYPE_CHECKING:
@@ -32,7 +32,7 @@
 
     from ..calls import Call
     from .protocol import BackendProtocol
-    from .server_connection import ServerAnswer
+    from .server_answer import ServerAnswer
     from .server_connection import ServerConnection
 
 # Far above the few milliseconds in which a backend server on the same VM accepts a
@@ -147,9 +147,10 @@
         if rejection is not None:
             if isinstance(rejection, Refused):
                 connection.record_refusal(call.request_key)
-            # Reads the body to its end. If the request body has not been sent in full,
-            # the connection is closed after that.
-            await answer.read()
+            # If the request body has not been sent in full, the connection is closed
+            # after that.
+            if answer.read_buffered() is None:
+                await answer.discard()
             return rejection
         headers = select_forwarded_headers(answer.raw_headers)
         if 0 <= answer.length <= INLINE_BODY_LIMIT_BYTES:
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
@@ -4,36 +4,31 @@
 
 import asyncio
 import re
-from dataclasses import dataclass
 from typing import TYPE_CHECKING
-from typing import Protocol
 
 from aiohttp.base_protocol import BaseProtocol
 from aiohttp.http import HttpResponseParser
 from aiohttp.http import StreamWriter
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
-from marjoramstep_core.errors import ConnectionFailedError
 from marjoramstep_core.errors import MarjoramstepError
 
 from ..calls import INLINE_BODY_LIMIT_BYTES
 from ..calls import UNKNOWN_LENGTH
-from ..http.message import decode_headers
 from ..http.message import has_control_character
+from .server_answer import BrokenExchangeError
+from .server_answer import ServerAnswer
 
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
     from collections.abc import Callable
-    from collections.abc import Mapping
 
     from aiohttp.http import RawResponseMessage
     from aiohttp.streams import StreamReader
     from marjoramstep_core.ids import RequestKey
-    from multidict import CIMultiDict
 
     from ..calls import Body
-    from ..calls import HeaderList
+    from .outgoing_request import OutgoingRequest
 
 HEADER_SIZE_LIMIT_BYTES = 32_768
 # Idle time after which a connection is not reused if the server announces none.
@@ -47,111 +42,11 @@
 LAST_FINAL_STATUS = 599
 # Refused requests that a connection remembers; with more it is not reused.
 REFUSED_KEYS_LIMIT = 256
+# Longest answer to another request that is read in order to skip it.
+SKIPPED_BODY_LIMIT_BYTES = 1_048_576
 _KEEP_ALIVE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 
 
-class BrokenExchangeError(ConnectionFailedError):
-    """The exchange ended without a complete answer; the request may have run."""
-
-
-class AnswerMatcher(Protocol):
-    """Decides whether an answer belongs to a request."""
-
-    def __call__(
-        self, status: int, headers: Mapping[str, str], *, is_first: bool
-    ) -> bool:
-        """Check an answer.
-
-        :param status: status of the answer
-        :param headers: headers of the answer
-        :param is_first: whether the connection has carried no other request
-        :return: false for a late answer to another request
-        """
-
-
-@dataclass(frozen=True)
-class OutgoingRequest:
-    """A request to the backend server.
-
-    :param matches: decides whether an answer belongs to this request
-    """
-
-    request_key: RequestKey
-    method: str
-    target: str
-    headers: CIMultiDict[str]
-    body: Body
-    matches: AnswerMatcher
-
-
-class ServerAnswer:
-    """Status and headers of an answer, with its body as a stream.
-
-    :param length: length of the body in bytes, or ``UNKNOWN_LENGTH``
-    """
-
-    def __init__(
-        self,
-        connection: ServerConnection,
-        message: RawResponseMessage,
-        payload: StreamReader,
-        length: int,
-    ) -> None:
-        self._connection = connection
-        self._payload = payload
-        self.status: int = message.code
-        self.headers: Mapping[str, str] = message.headers
-        self.raw_headers: HeaderList = decode_headers(message.raw_headers)
-        self.length = length
-        self._is_finished = False
-
-    def read_buffered(self) -> bytes | None:
-        """Return the whole body if it has already been received without an error.
-
-        :return: the body, or None if it is not complete yet
-        """
-        payload = self._payload
-        if not payload.is_eof() or payload.exception() is not None:
-            return None
-        data: bytes = payload.read_nowait()
-        self._is_finished = True
-        self._connection.finish_answer()
-        return data
-
-    async def read(self) -> bytes:
-        """Read the whole body.
-
-        :return: the body
-        :raises BrokenExchangeError: if it is not complete
-        """
-        return b"".join([part async for part in self.parts()])
-
-    async def parts(self) -> AsyncIterator[bytes]:
-        """Yield the body in parts; the connection is released after the last one.
-
-        :raises BrokenExchangeError: if it is not complete
-        """
-        was_read = False
-        try:
-            while part := await self._payload.readany():
-                yield part
-            was_read = True
-        except (HttpProcessingError, OSError) as error:
-            raise self._connection.exchange_error(str(error)) from error
-        finally:
-            if was_read:
-                self._is_finished = True
-                self._connection.finish_answer()
-            else:
-                self.abandon()
-
-    def abandon(self) -> None:
-        """Stop reading the answer; resets the connection unless the body was read."""
-        if not self._is_finished:
-            self._is_finished = True
-            self._connection.abort()
-
-
 class ServerConnection(BaseProtocol):
     """Sends one request at a time and skips late answers to other requests.
 
@@ -359,10 +254,23 @@
     def _skip_body(self, payload: StreamReader) -> None:
         if payload is EMPTY_PAYLOAD or payload.is_eof():
             return
-        task = self._loop.create_task(_read_to_end(payload))
+        task = self._loop.create_task(self._discard(payload))
         self._skip_tasks.add(task)
         task.add_done_callback(self._skip_tasks.discard)
 
+    async def _discard(self, payload: StreamReader) -> None:
+        """Read an answer that belongs to no current request."""
+        size = 0
+        try:
+            while part := await payload.readany():
+                size += len(part)
+                if size > SKIPPED_BODY_LIMIT_BYTES:
+                    self._fail(self.exchange_error("skipped answer is too long"))
+                    return
+        except (HttpProcessingError, OSError):
+            # The body belongs to no current request, so a truncated one is ignored.
+            return
+
     def _fail(self, error: BrokenExchangeError) -> None:
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(error)
@@ -415,12 +323,3 @@
     if not FIRST_FINAL_STATUS <= message.code <= LAST_FINAL_STATUS:
         return False
     return not has_control_character(message.raw_headers)
-
-
-async def _read_to_end(payload: StreamReader) -> None:
-    try:
-        while await payload.readany():
-            pass
-    except (HttpProcessingError, OSError):
-        # The body belongs to no current request, so a truncated one is ignored.
-        return
