--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -39,3 +39,19 @@
   Scenario: A request with a control character in a header is not run
     When a caller sends a header with a control character
     Then the caller gets status 400 and no request was run
+
+  # Guards against an upload that says it is the last request of its connection and is
+  # never read.
+  Scenario Outline: The body of a last request is read although it arrives after its head
+    When a caller sends a request with Connection: close whose body of <size> bytes follows in <parts> parts
+    Then the request is run with a body of <size> bytes and is answered
+
+    Examples:
+      | size   | parts |
+      | 20     | 1     |
+      | 900000 | 9     |
+
+  Scenario: A request behind the last one of a connection is not run
+    When a caller sends a request behind the body of one with Connection: close
+    Then only the first of them is run and answered
+
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -34,11 +34,16 @@
         self.releases: dict[str, asyncio.Event] = {}
         self.cancelled: list[str] = []
         self.headers: dict[str, HeaderList] = {}
+        self.reads_bodies = False
+        self.body_sizes: dict[str, int] = {}
 
     async def execute(self, request: Any) -> EntryResult:
         """Wait until the request is released and answer with its path."""
         release = self.releases.setdefault(request.path, asyncio.Event())
         try:
+            if self.reads_bodies:
+                size = sum([len(part) async for part in request.body.parts()])
+                self.body_sizes[request.path] = size
             await release.wait()
         except asyncio.CancelledError:
             self.cancelled.append(request.path)
@@ -225,3 +230,57 @@
         context.head, _ = await _read_answer(reader)
 
     _with_caller(context, scenario)
+
+
+def _post(path: str, size: int) -> bytes:
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n"
+        f"Content-Length: {size}\r\n\r\n"
+    ).encode()
+
+
+@when(
+    "a caller sends a request with Connection: close whose body of {size:d} bytes "
+    "follows in {parts:d} parts"
+)
+def step_last_request(context: Any, size: int, parts: int) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        context.entry.reads_bodies = True
+        writer.write(_post("/1", size))
+        for _part in range(parts):
+            await asyncio.sleep(0.02)
+            writer.write(bytes(size // parts))
+            await writer.drain()
+        await wait_until(lambda: "/1" in context.entry.body_sizes)
+        context.entry.releases["/1"].set()
+        context.head, _body = await _read_answer(reader)
+
+    _with_caller(context, scenario)
+
+
+@then("the request is run with a body of {size:d} bytes and is answered")
+def step_run_with_body(context: Any, size: int) -> None:
+    assert context.entry.body_sizes == {"/1": size}, context.entry.body_sizes
+    assert b" 200 " in context.head.splitlines()[0], context.head
+
+
+@when("a caller sends a request behind the body of one with Connection: close")
+def step_behind_last_request(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        context.entry.reads_bodies = True
+        writer.write(_post("/1", 4))
+        await asyncio.sleep(0.02)
+        writer.write(b"body" + _get("/2"))
+        await wait_until(lambda: "/1" in context.entry.body_sizes)
+        context.entry.releases["/1"].set()
+        context.head, _body = await _read_answer(reader)
+        context.rest = await reader.read()
+
+    _with_caller(context, scenario)
+
+
+@then("only the first of them is run and answered")
+def step_only_first(context: Any) -> None:
+    assert list(context.entry.releases) == ["/1"], context.entry.releases
+    assert b" 200 " in context.head.splitlines()[0], context.head
+    assert context.rest == b"", context.rest
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -114,7 +114,10 @@
         self._last_payload: StreamReader | None = None
         self._head_started_seconds: float | None = None
         self._idle_since_seconds = loop.time()
+        # Whether what still arrives is dropped.
         self._is_closing = False
+        # Whether another request may follow; the body of the last one is still read.
+        self._takes_requests = True
         self._closes_after_answer = False
 
     @property
@@ -154,10 +157,12 @@
         """
         if self._parser is None or self._is_closing:
             return
+        if not self._takes_requests and not self._is_in_body():
+            return
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
         except HttpProcessingError as error:
-            self._refuse_malformed(error)
+            self._on_malformed(error)
             return
         for message, payload in messages:
             self._start(message, payload)
@@ -170,7 +175,8 @@
 
     def close_when_idle(self) -> None:
         """Close the connection now if it is idle, otherwise after the last answer."""
-        self._is_closing = True
+        self._takes_requests = False
+        self._closes_after_answer = True
         if not self._exchanges and self.transport is not None:
             self.transport.close()
 
@@ -208,7 +214,7 @@
             self.transport.abort()
 
     def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
-        if self._is_closing:
+        if self._is_closing or not self._takes_requests:
             # Requests pipelined after one that closes the connection are ignored.
             return
         exchange = _Exchange(message, payload)
@@ -216,14 +222,17 @@
         self._exchanges.append(exchange)
         self._last_payload = payload
         if message.should_close:
-            self._is_closing = True
+            self._takes_requests = False
         exchange.task = self._loop.create_task(self._run(exchange, previous))
 
+    def _is_in_body(self) -> bool:
+        """Return whether the body of the last request has not arrived in full."""
+        payload = self._last_payload
+        return payload is not None and not payload.is_eof()
+
     def _track_incomplete_head(self, has_messages: bool, data: bytes) -> None:
         """Record when an incomplete request head began, for the header timeout."""
-        payload = self._last_payload
-        in_body = payload is not None and not payload.is_eof()
-        if has_messages or in_body:
+        if has_messages or self._is_in_body():
             self._head_started_seconds = None
         elif data and self._head_started_seconds is None:
             self._head_started_seconds = self._loop.time()
@@ -347,6 +356,12 @@
         if self._buffer_paused and len(self._exchanges) <= PIPELINE_LIMIT:
             self._resume_reading_for_buffer()
 
+    def _on_malformed(self, error: HttpProcessingError) -> None:
+        if self._takes_requests:
+            self._refuse_malformed(error)
+        elif self._last_payload is not None and self._is_in_body():
+            self._last_payload.set_exception(ConnectionResetError(str(error.message)))
+
     def _refuse_malformed(self, error: HttpProcessingError) -> None:
         """Refuse malformed input once all pending answers have been sent."""
         text = str(error.message)[:LOGGED_ERROR_CHARACTERS]
