Do not take the end of a body for the beginning of a head

What callers saw: a 408 and a close header_timeout (3 s) after a request whose body ended in another read than its head, also while it was running, though idle_timeout is 15 s; or the 408 as the answer to their next request.

Cause: bytes that complete no request and leave no body open started the timer of the next head; the last bytes of a body are such bytes.

Change: bytes read while a body is open do not start it.

Evidence: "The end of a body does not start the header timeout" timed out before the change.

--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -55,3 +55,9 @@
     When a caller sends a request behind the body of one with Connection: close
     Then only the first of them is run and answered
 
+  # Guards against a 408 and a close while a request runs or its connection is idle: the
+  # end of a body was taken for the beginning of the next request's head.
+  Scenario: The end of a body does not start the header timeout
+    When a body ends in another read than its head and more than the header timeout passes
+    Then the request is answered and its connection takes another one
+
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -27,6 +27,9 @@
 LONG_BODY_BYTES = 200_000
 
 
+HEADER_TIMEOUT_SECONDS = 30.0
+
+
 class BlockingEntry:
     """Runs each request until the test releases it."""
 
@@ -284,3 +287,30 @@
     assert list(context.entry.releases) == ["/1"], context.entry.releases
     assert b" 200 " in context.head.splitlines()[0], context.head
     assert context.rest == b"", context.rest
+
+
+@when(
+    "a body ends in another read than its head and more than the header timeout passes"
+)
+def step_split_body(context: Any) -> None:
+    async def scenario(listener: Any, reader: Any, writer: Any) -> None:
+        context.entry.reads_bodies = True
+        writer.write(_post("/1", 4).replace(b"Connection: close\r\n", b""))
+        await asyncio.sleep(0.02)
+        writer.write(b"body")
+        await wait_until(lambda: "/1" in context.entry.body_sizes)
+        (connection,) = listener._connections
+        later = asyncio.get_running_loop().time() + 2 * HEADER_TIMEOUT_SECONDS
+        connection.check_timeouts(later)
+        context.entry.releases["/1"].set()
+        writer.write(_get("/2"))
+        await wait_until(lambda: "/2" in context.entry.releases)
+        context.entry.releases["/2"].set()
+        context.bodies = [(await _read_answer(reader))[1] for _ in range(2)]
+
+    _with_caller(context, scenario)
+
+
+@then("the request is answered and its connection takes another one")
+def step_both_answered(context: Any) -> None:
+    assert context.bodies == [b"/1", b"/2"], context.bodies
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -157,7 +157,8 @@
         """
         if self._parser is None or self._is_closing:
             return
-        if not self._takes_requests and not self._is_in_body():
+        was_in_body = self._is_in_body()
+        if not self._takes_requests and not was_in_body:
             return
         try:
             messages, upgraded, _ = self._parser.feed_data(data)
@@ -169,7 +170,8 @@
         if upgraded:
             # The protocol cannot be changed; the data that follows is not HTTP.
             self._is_closing = True
-        self._track_incomplete_head(bool(messages), data)
+        if not was_in_body:
+            self._track_incomplete_head(bool(messages), data)
         if len(self._exchanges) > PIPELINE_LIMIT:
             self._pause_reading_for_buffer()
 
