--- a/features/steps/daemon_late_refusals_steps.py
+++ b/features/steps/daemon_late_refusals_steps.py
@@ -3,49 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import random
 from collections import Counter
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
+from daemon_dispatcher_harness import make_dispatcher
 from daemon_harness import CLOCK
 from daemon_harness import make_call
 from daemon_harness import run
-from marjoramstep_core.ids import NodeId
-from marjoramstep_core.ids import ServerId
-from marjoramstep_core.ids import ServiceName
-from marjoramstep_core.ids import ZoneName
 from marjoramstep_core.states import Reason
-from marjoramstep_core.states import ServerState
-from marjoramstep_daemon.backpressure_tracker import BackpressureTracker
-from marjoramstep_daemon.callers.dispatcher import Dispatcher
 from marjoramstep_daemon.calls import UNKNOWN_LENGTH
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Body
 from marjoramstep_daemon.calls import Refused
-from marjoramstep_daemon.log import EventLog
-from marjoramstep_daemon.metrics import NodeMetrics
-from marjoramstep_policy.admission import SIZE_CLASSIFIERS
-from marjoramstep_policy.pressure import BACKPRESSURE_VARIANTS
-from marjoramstep_policy.retries import SERVICE_RETRY_BUDGETS
 from marjoramstep_policy.retries import RetryAllowance
-from marjoramstep_policy.routing import ROUTERS
-from marjoramstep_policy.routing import RouteMember
 
 
-SERVICE = ServiceName("s")
 DEADLINE_MS = 400.0
 
 
-class FakeSubscriber:
-    """Knows the members already."""
-
-    async def ensure_subscribed(self, _service: Any, _deadline_ms: float) -> None:
-        """Return at once."""
-
-
 class FakeLinks:
     """Peers that answer, or refuse a call for its deadline."""
 
@@ -66,38 +44,6 @@
         return Refused(Reason.DEADLINE, "not enough time left")
 
 
-def _member(number: int) -> RouteMember:
-    name = f"node-{number}"
-    return RouteMember(
-        server_id=ServerId(name),
-        node_id=NodeId(name),
-        address=f"127.0.0.1:{number}",
-        zone=ZoneName("a"),
-        slots=9,
-        connections=100,
-        state=ServerState.READY,
-        incarnation=1,
-    )
-
-
-def _make_dispatcher(members: int, links: FakeLinks) -> Dispatcher:
-    router = ROUTERS.get("zone-first")(CLOCK, random.Random(1), ZoneName("a"))
-    router.update_members(SERVICE, [_member(n + 1) for n in range(members)])
-    return Dispatcher(
-        CLOCK,
-        NodeId("caller"),
-        FakeSubscriber(),  # type: ignore[arg-type]
-        router,
-        SERVICE_RETRY_BUDGETS.get("share")(CLOCK),
-        links,  # type: ignore[arg-type]
-        None,  # type: ignore[arg-type]
-        BackpressureTracker(BACKPRESSURE_VARIANTS.get("reported")(CLOCK)),
-        SIZE_CLASSIFIERS.get("learned")(),
-        NodeMetrics(),
-        EventLog(CLOCK, "test"),
-    )
-
-
 @given(
     "a service with {members:d} members of which {late:d} refuse calls at their"
     " deadline"
@@ -121,7 +67,7 @@
 @when("{count:d} calls are sent to the service")
 def step_send(context: Any, count: int) -> None:
     async def scenario() -> None:
-        dispatcher = _make_dispatcher(context.members, context.links)
+        dispatcher = make_dispatcher(context.members, context.links)
         context.replies = []
         for number in range(count):
             call = make_call(f"key-{number}", DEADLINE_MS)
@@ -137,7 +83,7 @@
         yield b"second part"
 
     async def scenario() -> None:
-        dispatcher = _make_dispatcher(context.members, context.links)
+        dispatcher = make_dispatcher(context.members, context.links)
         body = Body(b"first part", length=UNKNOWN_LENGTH, rest=parts())
         call = make_call("streamed", DEADLINE_MS, body=body)
         await dispatcher.dispatch(call, RetryAllowance(0))
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/call_executor.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/call_executor.py
@@ -16,6 +16,7 @@
 from ..calls import Failed
 from ..calls import Refused
 from ..deadline import Deadline
+from ..deadline import end_at_deadline
 from ..fingerprints import fingerprint_of
 from .client import BackendFault
 from .client import BackendServerError
@@ -262,6 +263,12 @@
             reply.body.rest = self._record_stream_end(
                 reply.body.rest, call, incarnation
             )
+            if not call.row.needs_claim:
+                # A claimed run continues after its deadline, so that its answer can be
+                # stored.
+                reply.body.rest = end_at_deadline(
+                    reply.body.rest, call.deadline_ms, self._clock
+                )
             reply.body.on_end(lambda _: self._in_flight.discard(context_id))
         else:
             reply.retry_tokens = self._in_flight.remove(context_id)
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -16,6 +16,7 @@
 from ..calls import Answer
 from ..calls import Failed
 from ..calls import Refused
+from ..deadline import end_at_deadline
 from ..retry_after import NOT_READY_RETRY_AFTER
 from .call_result import AT_LIMIT_REASONS
 from .call_result import UNAVAILABLE_REASONS
@@ -138,6 +139,10 @@
             call.body.restart()
             if not _retries_same_server(call, reply, history):
                 member = self._router.pick(call.service, history.excluded)
+        if isinstance(reply, Answer) and reply.body.rest is not None:
+            reply.body.rest = end_at_deadline(
+                reply.body.rest, call.deadline_ms, self._clock
+            )
         return reply, history.may_have_run
 
     def _prepare_retry(
--- a/packages/daemon/src/marjoramstep_daemon/deadline.py
+++ b/packages/daemon/src/marjoramstep_daemon/deadline.py
@@ -5,10 +5,25 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from marjoramstep_core.errors import MarjoramstepError
+
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterable
+    from collections.abc import AsyncIterator
     from types import TracebackType
 
+    from marjoramstep_core.clock import Clock
+
+# How long a part of a body may arrive after the deadline. The sender stops at the
+# deadline, and what it has sent is under way then.
+LATE_PART_MS = 200.0
+SECOND_MS = 1_000.0
+
+
+class DeadlineExceededError(MarjoramstepError):
+    """The rest of a body did not arrive before the deadline."""
+
 
 class Deadline:
     """Context manager that cancels its block after a time limit.
@@ -61,3 +76,32 @@
     def _on_timeout(self) -> None:
         self._is_expired = True
         self._task.cancel()
+
+
+async def end_at_deadline(
+    parts: AsyncIterable[bytes], deadline_ms: float, clock: Clock
+) -> AsyncIterator[bytes]:
+    """Pass on the parts of a body until its source falls silent after the deadline.
+
+    A slow reader still gets what has arrived.
+
+    :param parts: the parts; cancelled when the wait for the next one ends
+    :param deadline_ms: deadline in milliseconds of the clock
+    :param clock: clock of the node
+    :raises DeadlineExceededError: if the next part did not arrive in time
+    """
+    loop = asyncio.get_running_loop()
+    source = aiter(parts)
+    while True:
+        left_ms = max(deadline_ms - clock.now_ms(), 0.0) + LATE_PART_MS
+        try:
+            async with Deadline(loop, left_ms / SECOND_MS):
+                part = await anext(source)
+        except StopAsyncIteration:
+            return
+        except TimeoutError as error:
+            raise DeadlineExceededError(
+                "the rest of the body did not arrive before the deadline",
+                step="receive body",
+            ) from error
+        yield part
