Count the calls of retried runs as retries, along the whole chain

Cause: a retried run makes its calls again. Its node counted them as first attempts of the called service, and they took no retry token.

Change: a call carries whether it is a repeat and whether an earlier run may have made the calls of its run. Such calls count as retries in the budget of the called service, and take a token of their request in the second case.

--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -116,7 +116,10 @@
             have run
         """
         await self._subscriber.ensure_subscribed(call.service, call.deadline_ms)
-        self._budget.record_first_attempt(call.service, call.weight)
+        if call.is_repeat:
+            self._budget.record_repeat(call.service)
+        else:
+            self._budget.record_first_attempt(call.service, call.weight)
         history = _AttemptHistory()
         reply: Reply = Refused(
             Reason.NO_SERVER,
@@ -174,6 +177,8 @@
             return False
         self._metrics.count_event("retry")
         self._log_decision("call sent again", call, reply)
+        call.is_repeat = True
+        call.runs_again = call.runs_again or isinstance(reply, Failed)
         return allowance.take()
 
     def _prepare_failover(
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -226,7 +226,12 @@
                 result = make_refusal(Reason.RETRIES_EXHAUSTED, key, row.name)
             else:
                 result = await self._dispatch_root(
-                    request, key, row, verdict.allowance, now_ms
+                    request,
+                    key,
+                    row,
+                    verdict.allowance,
+                    now_ms,
+                    earlier_may_have_run=earlier_may_have_run,
                 )
             outcome = result.outcome
         finally:
@@ -245,8 +250,11 @@
         row: Row,
         allowance: RetryAllowance,
         now_ms: float,
+        *,
+        earlier_may_have_run: bool = False,
     ) -> EntryResult:
         call = self._make_call(request, key, row, now_ms)
+        call.runs_again = earlier_may_have_run
         reply, may_have_run = await self._dispatcher.dispatch(call, allowance)
         return make_result(reply, key, row, may_have_run)
 
@@ -260,19 +268,23 @@
     ) -> EntryResult:
         identity = _identity_of(request)
         earlier = parent.sub_calls.get(identity)
-        # A resend by the backend server counts as a retry of the root request. If the
-        # row is not repeatable, it is not limited: under a claim it does not run again.
+        # A resend by the backend server counts as a retry of the root request, and so
+        # does a call of a run that repeats an earlier one. If the row is not
+        # repeatable, it is not limited: under a claim it does not run again.
         is_resend = earlier is not None and self._is_resend(request, earlier)
-        if is_resend and not parent.allowance.take() and row.repeatable:
+        is_retry = is_resend or parent.call.runs_again
+        if is_retry and not parent.allowance.take() and row.repeatable:
             self._metrics.count_event("resend refused")
             result = make_refusal(Reason.RETRIES_EXHAUSTED, key, row.name)
-            if earlier is not SubCallState.NOT_RUN:
+            if earlier not in (None, SubCallState.NOT_RUN):
                 result.downgrade_to_unknown()
             return result
         if len(parent.sub_calls) < SUB_CALL_LIMIT or earlier is not None:
             parent.sub_calls[identity] = SubCallState.RUNNING
         parent.call.made_sub_calls = True
-        result = await self._dispatch_sub_call(request, key, row, parent, now_ms)
+        result = await self._dispatch_sub_call(
+            request, key, row, parent, now_ms, is_resend=is_resend
+        )
         if _indicates_overload(result.reply):
             parent.call.shed_downstream = True
         if identity in parent.sub_calls:
@@ -300,11 +312,15 @@
         row: Row,
         parent: InFlightRequest,
         now_ms: float,
+        *,
+        is_resend: bool,
     ) -> EntryResult:
         call = self._make_call(request, key, row, now_ms)
         call.root_id = parent.call.root_id
         call.weight = parent.call.weight
         call.depth = parent.call.depth + 1
+        call.is_repeat = parent.call.is_repeat
+        call.runs_again = parent.call.runs_again or is_resend
         call.siblings_succeeded = SubCallState.SUCCEEDED in parent.sub_calls.values()
         # A row's deadline applies to a whole request. A shorter deadline of the called
         # row would end the request while its own deadline can still be met.
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -140,6 +140,10 @@
     :param siblings_succeeded: whether other sub-calls of its parent have succeeded
     :param may_move_on: whether the serving node may refuse it at once if it would have
         to wait, since there are other servers to try
+    :param is_repeat: whether an earlier send of it, or of a call above it, has reached
+        a backend server; it counts as a retry at the service that is called
+    :param runs_again: whether an earlier run of it, or of a call above it, may have
+        made the sub-calls that its run makes
     :param withdrawn: set when the outcome was reported to the caller; a call that has
         not started by then must not be started
     """
@@ -165,6 +169,8 @@
     shed_downstream: bool = False
     siblings_succeeded: bool = False
     may_move_on: bool = False
+    is_repeat: bool = False
+    runs_again: bool = False
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/marjoramstep_daemon/nodes/conversion.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/conversion.py
@@ -75,6 +75,9 @@
         repeatable=call.row.repeatable,
         body_length=call.body.length,
         may_move_on=call.may_move_on,
+        # Rare, and left out if false.
+        is_repeat=call.is_repeat or None,
+        runs_again=call.runs_again or None,
     )
 
 
--- a/packages/daemon/src/marjoramstep_daemon/nodes/session.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/session.py
@@ -264,6 +264,8 @@
             retry_tokens=message.retry_tokens,
             size_class=SizeClass(message.size_class),
             may_move_on=bool(message.may_move_on),
+            is_repeat=bool(message.is_repeat),
+            runs_again=bool(message.runs_again),
         )
         return await self._call_executor.execute(call)
 
--- a/packages/policy/src/marjoramstep_policy/retries/service_retry_budget.py
+++ b/packages/policy/src/marjoramstep_policy/retries/service_retry_budget.py
@@ -98,7 +98,8 @@
 
     The share is 10% for calls that may have run and, depending on
     ``REFUSED_CALL_PARTS``, up to 17% for calls that a backend server refused. Both
-    kinds of retries count together, and ``RETRY_FLOOR`` retries are always allowed.
+    kinds of retries count together with the calls that retried runs make, and
+    ``RETRY_FLOOR`` retries are always allowed.
 
     When ``MAX_SERVICES`` services are tracked and a further one is called, services
     that were idle for a whole window are discarded. If there is none, the further
@@ -124,6 +125,18 @@
             window.first_attempts[index] += 1
             window.max_weights[index] = max(window.max_weights[index], weight)
 
+    def record_repeat(self, service: ServiceName) -> None:
+        """Count a call of a run that is itself a retry; it is never refused.
+
+        Without this, the shares of the services of a chain would multiply.
+
+        :param service: the service called
+        """
+        tick = self._tick()
+        window = self._window(service, tick)
+        if window is not None:
+            window.retries[window.advance(tick)] += 1
+
     def try_spend_after_failure(self, service: ServiceName) -> bool:
         """Count a retry of a call that may have run, if the budget allows it.
 
@@ -189,6 +202,9 @@
     def record_first_attempt(self, service: ServiceName, weight: int = 0) -> None:
         """Count nothing."""
 
+    def record_repeat(self, service: ServiceName) -> None:
+        """Count nothing."""
+
     def try_spend_after_failure(self, service: ServiceName) -> bool:
         """Allow the retry.
 
--- a/packages/wire/src/marjoramstep_wire/messages.thrift
+++ b/packages/wire/src/marjoramstep_wire/messages.thrift
@@ -58,6 +58,12 @@
   18: required i64 body_length
   // Whether the sender can try another server; absent means no.
   19: optional bool may_move_on
+  // Whether an earlier send of the call, or of one above it, has reached a backend
+  // server; absent means no.
+  20: optional bool is_repeat
+  // Whether an earlier run of the call, or of one above it, may have made the calls that
+  // its run makes; absent means no.
+  21: optional bool runs_again
 }
 
 struct BodyPart {
