Abandon a streamed answer whose exchange ends before it is written

Cause: only the code that writes an answer abandoned its body; an answer that waited for the one before it was never written.

Change: the task of the exchange abandons it however it ends.

Evidence: "A streamed answer that waits for its turn is abandoned when its caller leaves" failed before the change.

--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -61,3 +61,8 @@
     When a body ends in another read than its head and more than the header timeout passes
     Then the request is answered and its connection takes another one
 
+  # Guards against a server that works on for a caller that has left.
+  Scenario: A streamed answer that waits for its turn is abandoned when its caller leaves
+    When the answer of "/2" waits for that of "/1" and the caller closes its connection
+    Then the rest of the answer of "/2" is abandoned
+
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -16,12 +16,15 @@
 from marjoramstep_core.states import Outcome
 from marjoramstep_daemon.callers.entry_result import EntryResult
 from marjoramstep_daemon.callers.listener import CallerListener
+from marjoramstep_daemon.calls import UNKNOWN_LENGTH
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Body
 from marjoramstep_daemon.log import EventLog
 
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from marjoramstep_daemon.calls import HeaderList
 
 LONG_BODY_BYTES = 200_000
@@ -37,6 +40,8 @@
         self.releases: dict[str, asyncio.Event] = {}
         self.cancelled: list[str] = []
         self.headers: dict[str, HeaderList] = {}
+        self.streamed_paths: set[str] = set()
+        self.abandoned: list[str] = []
         self.reads_bodies = False
         self.body_sizes: dict[str, int] = {}
 
@@ -52,11 +57,24 @@
             self.cancelled.append(request.path)
             raise
         data = request.path.encode()
+        if request.path in self.streamed_paths:
+            body = Body(
+                data,
+                rest=_silence(),
+                length=UNKNOWN_LENGTH,
+                on_abandon=lambda: self.abandoned.append(request.path),
+            )
+            return EntryResult(Answer(200, [], body), Outcome.DONE, "k", "r")
         headers = self.headers.get(request.path, [])
         answer = Answer(200, headers, Body(data, length=len(data)))
         return EntryResult(answer, Outcome.DONE, "k", "r")
 
 
+async def _silence() -> AsyncIterator[bytes]:
+    await asyncio.Event().wait()
+    yield b""
+
+
 def _get(path: str) -> bytes:
     return f"GET {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode()
 
@@ -314,3 +332,24 @@
 @then("the request is answered and its connection takes another one")
 def step_both_answered(context: Any) -> None:
     assert context.bodies == [b"/1", b"/2"], context.bodies
+
+
+@when('the answer of "/2" waits for that of "/1" and the caller closes its connection')
+def step_answer_waits(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        entry = context.entry
+        entry.streamed_paths = {"/2"}
+        writer.write(_get("/1") + _get("/2"))
+        await wait_until(lambda: len(entry.releases) == 2)
+        entry.releases["/2"].set()
+        await asyncio.sleep(0.02)
+        writer.close()
+        await wait_until(lambda: entry.cancelled == ["/1"], "the end of the caller")
+        await asyncio.sleep(0.02)
+
+    _with_caller(context, scenario)
+
+
+@then('the rest of the answer of "/2" is abandoned')
+def step_abandoned_rest(context: Any) -> None:
+    assert context.entry.abandoned == ["/2"], context.entry.abandoned
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -241,6 +241,7 @@
 
     async def _run(self, exchange: _Exchange, previous: _Exchange | None) -> None:
         exchange.has_started = True
+        answer: HttpAnswer | None = None
         try:
             answer = await self._answer(exchange)
             exchange.has_answer = True
@@ -257,6 +258,8 @@
             self._log.write("answer not sent", step="answer", error=repr(error))
             self.abort()
         finally:
+            if answer is not None:
+                answer.body.abandon()
             self._finish(exchange)
 
     async def _answer(self, exchange: _Exchange) -> HttpAnswer:
@@ -324,18 +327,15 @@
             self._is_closing = True
         elif not is_http_1_1:
             headers["Connection"] = "keep-alive"
-        try:
-            await writer.write_headers(_status_line(answer.status), headers)
-            if omits_body:
-                await writer.write_eof()
-            elif body.is_complete:
-                await writer.write_eof(body.data)
-            else:
-                async for part in body.parts():
-                    await writer.write(part)
-                await writer.write_eof()
-        finally:
-            body.abandon()
+        await writer.write_headers(_status_line(answer.status), headers)
+        if omits_body:
+            await writer.write_eof()
+        elif body.is_complete:
+            await writer.write_eof(body.data)
+        else:
+            async for part in body.parts():
+                await writer.write(part)
+            await writer.write_eof()
         if closes:
             self._cancel_others_and_close(exchange)
 
