Refuse heartbeats of a service that nobody names

Cause: each well-formed heartbeat with a later start was a new incarnation.

Change: a heartbeat that changes the service of a VM to one that neither the table in force nor the node's settings name is refused with 400.

Evidence: "A heartbeat of a service that nobody names does not replace the server" fails without the check and passes with it.

--- a/features/platform/heartbeats.feature
+++ b/features/platform/heartbeats.feature
@@ -94,3 +94,29 @@
   Scenario: A heartbeat of an instance that no header can name is refused
     When a heartbeat of an instance with a control character in its id arrives
     Then the heartbeat is answered with 400
+
+  # Guards against a heartbeat of another writer that replaces the server of a VM, so that
+  # requests that begin there name a foreign service as their caller.
+  Scenario: A heartbeat of a service that nobody names does not replace the server
+    Given the table in force names the services "huvo11a" and "lovo22d"
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And a heartbeat of service "stranger" born at 900 arrives
+    Then the heartbeat is answered with 400
+    And the node knows a "ready" server "i-1"
+    When server "i-1" born at 100 sends heartbeat 2 as "draining"
+    Then the node knows a "draining" server "i-1"
+
+  Scenario: The address of a server may pass to another service that the table names
+    Given the table in force names the services "huvo11a" and "lovo22d"
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And a heartbeat of service "lovo22d" born at 900 arrives
+    Then the heartbeat is answered with 200
+    And the node knows a "ready" server "i-9"
+
+  Scenario: The server of a service that the table no longer names can still leave
+    Given the table in force names the services "huvo11a" and "lovo22d"
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    And the table in force names the service "lovo22d" only
+    And server "i-1" born at 100 sends heartbeat 2 as "draining"
+    Then the node knows a "draining" server "i-1"
+
--- a/features/steps/platform_heartbeats_steps.py
+++ b/features/steps/platform_heartbeats_steps.py
@@ -13,7 +13,13 @@
 from daemon_harness import run
 from marjoramstep_core.clock import ManualClock
 from marjoramstep_core.ids import NodeId
+from marjoramstep_core.ids import ServiceName
+from marjoramstep_core.ids import TableVersion
+from marjoramstep_core.table import Row
+from marjoramstep_core.table import Table
 from marjoramstep_daemon.backend_servers.local_server import LocalServer
+from marjoramstep_daemon.control.services_in_use import ServicesInUse
+from marjoramstep_daemon.control.table_store import TableStore
 from marjoramstep_daemon.http.server import HttpServer
 from marjoramstep_daemon.log import EventLog
 from marjoramstep_platform.heartbeats import HeartbeatApi
@@ -126,3 +132,33 @@
 def step_malformed_instance(context: Any) -> None:
     data = json.dumps(_heartbeat(sequence=5)).encode()
     context.status = run(_send(context, "PUT", "i%01", data))
+
+
+def _put_table_in_force(context: Any, services: list[str]) -> None:
+    """Let the node's table name some services; there is no table before."""
+    tables = TableStore(context.clock, EventLog(CLOCK, "test"))
+    rows = [
+        Row.from_cells({"name": f"r-{name}", "service": name, "method": "*"})
+        for name in services
+    ]
+    by_name = {row.name: row for row in rows}
+    tables.put_in_force(Table(TableVersion(1), {**Table().rows, **by_name}))
+    context.local_server.known_services = ServicesInUse(tables, ServiceName("own"))
+
+
+@given('the table in force names the services "{first}" and "{second}"')
+def step_two_services(context: Any, first: str, second: str) -> None:
+    _put_table_in_force(context, [first, second])
+
+
+@when('the table in force names the service "{name}" only')
+def step_one_service(context: Any, name: str) -> None:
+    _put_table_in_force(context, [name])
+
+
+@when('a heartbeat of service "{service}" born at {born:d} arrives')
+def step_other_service(context: Any, service: str, born: int) -> None:
+    document = _heartbeat(born=born)
+    document["info"]["service"] = service
+    data = json.dumps(document).encode()
+    context.status = run(_send(context, "PUT", "i-9", data))
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
@@ -23,6 +23,7 @@
     from marjoramstep_core.ids import RequestKey
     from marjoramstep_core.ids import ServiceName
 
+    from ..control.services_in_use import ServicesInUse
     from .announcement import Announcement
     from .protocol import BackendProtocol
 
@@ -52,6 +53,7 @@
         self._timeout_ms = timeout_ms
         self._is_draining = False
         self._departures = Departures(clock)
+        self.known_services: ServicesInUse | None = None
         self.on_change: Callable[[], None] = lambda: None
         self.on_answer_skipped: Callable[[RequestKey, int], None] = (
             lambda _key, _status: None
@@ -150,6 +152,18 @@
         """
         return self._departures.include(announcement.instance, announcement.incarnation)
 
+    def may_announce(self, service: ServiceName) -> bool:
+        """Return whether the backend server may announce a service.
+
+        A server in use keeps its service when the table no longer names it.
+
+        :param service: name of the service
+        :return: false for a service that nobody names
+        """
+        if self.known_services is None or self.serves(service):
+            return True
+        return self.known_services.include(service)
+
     def check_announcement_age(self) -> None:
         """Mark the backend server as gone if its announcements have stopped."""
         if self._clock.now_ms() - self._announced_ms > self._timeout_ms:
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.ids import NodeId
+from marjoramstep_core.ids import ServiceName
 from marjoramstep_core.ids import ZoneName
 from marjoramstep_core.states import ConnectionClass
 from marjoramstep_core.states import Role
@@ -40,6 +41,7 @@
 from .callers.subscription_prefetcher import SubscriptionPrefetcher
 from .control.control_client import ControlClient
 from .control.quarantine_client import QuarantineClient
+from .control.services_in_use import ServicesInUse
 from .control.table_store import TableStore
 from .metrics import NodeMetrics
 from .node import Node
@@ -101,6 +103,9 @@
             protocol,
             self._node_settings.announce_timeout_ms,
         )
+        local_server.known_services = ServicesInUse(
+            self._tables, ServiceName(self._node_settings.backend_service)
+        )
         local_server.on_answer_skipped = self._log_skipped_answer
         gate = self._build_gate()
         links = self._build_links()
--- a/packages/platform/src/marjoramstep_platform/heartbeats.py
+++ b/packages/platform/src/marjoramstep_platform/heartbeats.py
@@ -132,6 +132,8 @@
         instance = request.match_info["instance"]
         try:
             heartbeat = Heartbeat.decode(instance, await request.read())
+            if not self._local_server.may_announce(heartbeat.service):
+                raise _invalid_heartbeat("info.service: nobody names this service")
             await self._apply(heartbeat)
         except InvalidInputError as error:
             self._log.write(
