Replace a connection between nodes that has fallen silent for good

Cause: such a link counts as unresponsive until something arrives on it, and nothing replaced it.

Change: once a second a new connection is tried beside a silent one, without a call waiting for it; when it is complete it takes the other's place.

--- a/features/daemon/node_link.feature
+++ b/features/daemon/node_link.feature
@@ -54,3 +54,10 @@
       | an unknown reason   |
       | negative tokens     |
       | too much credit     |
+
+  # Guards against two nodes that never work together again, because the connection
+  # between them has gone silent for good while new ones work.
+  Scenario: A connection that falls silent for good is replaced
+    When the connection of a link pool to a raw peer falls silent for good
+    Then later calls reach the peer over a new connection
+
--- a/features/steps/daemon_node_link_steps.py
+++ b/features/steps/daemon_node_link_steps.py
@@ -8,10 +8,13 @@
 
 from behave import then
 from behave import when
+from daemon_harness import CLOCK
+from daemon_harness import KEY
 from daemon_harness import FakePeer
 from daemon_harness import answer_start
 from daemon_harness import link_to
 from daemon_harness import make_call
+from daemon_harness import node_hello
 from daemon_harness import refusal
 from daemon_harness import run
 from daemon_harness import wait_until
@@ -21,7 +24,10 @@
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Failed
 from marjoramstep_daemon.calls import Refused
+from marjoramstep_daemon.log import EventLog
 from marjoramstep_daemon.nodes.link import CANCEL_REPLY_TIMEOUT_SECONDS
+from marjoramstep_daemon.nodes.link_pool import LinkPool
+from marjoramstep_wire.connection import PeerConnection
 from marjoramstep_wire.messages import BodyPart
 from marjoramstep_wire.messages import CallStart
 from marjoramstep_wire.messages import Cancel
@@ -29,6 +35,10 @@
 from marjoramstep_wire.messages import Credit
 
 
+# Far above the time after which a connection counts as silent.
+RECOVERY_LIMIT_SECONDS = 12.0
+
+
 SEED = 20261204
 # Longer than any delay of the peer, also on a busy machine.
 LONG_DEADLINE_MS = 60_000.0
@@ -337,3 +347,47 @@
 def step_protocol(context: Any) -> None:
     assert isinstance(context.reply, Failed), context.reply
     assert isinstance(context.errors[0], ProtocolError), context.errors
+
+
+@when("the connection of a link pool to a raw peer falls silent for good")
+def step_silent_for_good(context: Any) -> None:
+    peer = FakePeer()
+    peer.answer = _answer_call
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: PeerConnection(
+                KEY, node_hello(), False, peer.on_message, peer.on_closed
+            ),
+            "127.0.0.1",
+            0,
+        )
+        log = EventLog(CLOCK, "test")
+        links = LinkPool(KEY, _hello, CLOCK, lambda: 1, lambda _: None, log)
+        checks = asyncio.create_task(links.run())
+        address = server.sockets[0].getsockname()
+        assert isinstance(await links.execute(address, make_call("first")), Answer)
+        peer.connection._transport.pause_reading()
+        reply = await links.execute(address, make_call("silent"))
+        assert isinstance(reply, Failed), reply
+
+        end = loop.time() + RECOVERY_LIMIT_SECONDS
+        while loop.time() < end and not isinstance(context.reply, Answer):
+            context.reply = await links.execute(address, make_call("later"))
+            await asyncio.sleep(0.1)
+        checks.cancel()
+        links.close()
+        server.close()
+
+    context.reply = None
+    run(scenario())
+
+
+def _hello(_connection_class: Any) -> Any:
+    return node_hello()
+
+
+@then("later calls reach the peer over a new connection")
+def step_reached_again(context: Any) -> None:
+    assert isinstance(context.reply, Answer), context.reply
--- a/packages/daemon/src/marjoramstep_daemon/nodes/link_pool.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/link_pool.py
@@ -32,6 +32,8 @@
 CONNECT_TIMEOUT_MS = 250.0
 # Interval of the checks while calls are in flight.
 CHECK_INTERVAL_SECONDS = 0.1
+# How often a new connection is tried while the one in use is silent.
+REPLACE_INTERVAL_SECONDS = 1.0
 # A link without calls for this long is closed when another one opens, so that the
 # connections of a node follow its calls and not the number of machines.
 IDLE_LIMIT_MS = 30_000.0
@@ -68,13 +70,17 @@
         self._opening: dict[LinkKey, asyncio.Task[NodeLink]] = {}
         self._failed_at_ms: dict[LinkKey, float] = {}
         self._used_at_ms: dict[LinkKey, float] = {}
+        self._replace_tried_seconds: dict[LinkKey, float] = {}
+        # Replaced links whose last calls have not ended.
+        self._retired: list[NodeLink] = []
         self._has_calls = asyncio.Event()
         self._closed_late_replies = 0
 
     @property
     def late_replies(self) -> int:
         """Number of messages for streams that are unknown or have ended."""
-        open_count = sum(link.late_replies for link in self._links.values())
+        links = [*self._links.values(), *self._retired]
+        open_count = sum(link.late_replies for link in links)
         return open_count + self._closed_late_replies
 
     async def execute(self, address: Address, call: Call) -> Reply:
@@ -109,19 +115,51 @@
         while True:
             await self._has_calls.wait()
             await asyncio.sleep(CHECK_INTERVAL_SECONDS)
-            in_flight = 0
-            for key, link in list(self._links.items()):
-                in_flight += link.in_flight
-                if link.check_liveness(loop.time()):
-                    self._log.write(
-                        "peer is silent",
-                        step="check links",
-                        peer=f"{key[0][0]}:{key[0][1]}",
-                        calls=link.in_flight,
-                    )
-            if not in_flight:
+            if not self._check_links(loop.time()):
                 self._has_calls.clear()
 
+    def _check_links(self, now_seconds: float) -> bool:
+        """Check all links once.
+
+        :param now_seconds: time of the event loop
+        :return: whether another check is needed
+        """
+        in_flight = 0
+        has_silent = False
+        for key, link in list(self._links.items()):
+            in_flight += link.in_flight
+            if link.check_liveness(now_seconds):
+                self._log.write(
+                    "peer is silent",
+                    step="check links",
+                    peer=f"{key[0][0]}:{key[0][1]}",
+                    calls=link.in_flight,
+                )
+            if link.is_unresponsive:
+                has_silent = True
+                self._try_to_replace(key, now_seconds)
+        if has_silent:
+            self._close_idle_links()
+        self._close_retired_links()
+        return bool(in_flight or has_silent or self._retired)
+
+    def _try_to_replace(self, key: LinkKey, now_seconds: float) -> None:
+        """Open a new connection beside a silent one, which may be dead for good."""
+        tried_seconds = self._replace_tried_seconds.get(key, float("-inf"))
+        if key in self._opening:
+            return
+        if now_seconds - tried_seconds < REPLACE_INTERVAL_SECONDS:
+            return
+        self._replace_tried_seconds[key] = now_seconds
+        self._opening_task(key).add_done_callback(_take_error)
+
+    def _close_retired_links(self) -> None:
+        ended = [link for link in self._retired if link.in_flight == 0]
+        for link in ended:
+            self._closed_late_replies += link.late_replies
+            self._retired.remove(link)
+            link.close()
+
     def retain(self, addresses: set[Address]) -> None:
         """Close idle links to nodes that are no longer members.
 
@@ -141,13 +179,14 @@
         self._closed_late_replies += link.late_replies
         del self._links[key]
         self._used_at_ms.pop(key, None)
+        self._replace_tried_seconds.pop(key, None)
         link.close()
 
     def close(self) -> None:
         """Close all links."""
         for task in self._opening.values():
             task.cancel()
-        for link in self._links.values():
+        for link in [*self._links.values(), *self._retired]:
             link.close()
 
     async def _open(self, key: LinkKey, call: Call) -> NodeLink:
@@ -190,11 +229,21 @@
         link.attach(connection)
         self._on_peer_version(connection.peer_hello.table_version)
         self._close_idle_links()
+        previous = self._links.get(key)
+        if previous is not None:
+            self._retired.append(previous)
+            self._close_retired_links()
         self._links[key] = link
         self._used_at_ms[key] = self._clock.now_ms()
         return link
 
 
+def _take_error(task: asyncio.Task[NodeLink]) -> None:
+    """Take the error of a task that nobody awaits; it has been logged."""
+    if not task.cancelled():
+        task.exception()
+
+
 def _connection_class(call: Call) -> ConnectionClass:
     if call.size_class is SizeClass.LONG or not call.body.is_complete:
         return ConnectionClass.BULK
