Notice callers that leave while their upload is not being read

Cause: reading is paused when a node holds enough of an upload, and the event loop reports the end of a connection to readers only.

--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -66,3 +66,8 @@
     When the answer of "/2" waits for that of "/1" and the caller closes its connection
     Then the rest of the answer of "/2" is abandoned
 
+  # Guards against an upload that is run although its caller left while it waited.
+  Scenario: A caller that resets a connection whose upload is not being read is noticed
+    When a caller sends more of an upload than the node holds and resets its connection
+    Then the request of the upload is cancelled
+
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+import struct
 from typing import TYPE_CHECKING
 from typing import Any
 
@@ -31,6 +34,8 @@
 
 
 HEADER_TIMEOUT_SECONDS = 30.0
+UPLOAD_BYTES = 4_000_000
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class BlockingEntry:
@@ -353,3 +358,25 @@
 @then('the rest of the answer of "/2" is abandoned')
 def step_abandoned_rest(context: Any) -> None:
     assert context.entry.abandoned == ["/2"], context.entry.abandoned
+
+
+@when("a caller sends more of an upload than the node holds and resets its connection")
+def step_reset_upload(context: Any) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        writer.write(_post("/1", UPLOAD_BYTES) + bytes(UPLOAD_BYTES // 2))
+        await wait_until(lambda: "/1" in context.entry.releases)
+        await asyncio.sleep(0.1)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
+        with contextlib.suppress(AssertionError):
+            await wait_until(lambda: context.entry.cancelled)
+        # The end of the listener cancels it as well.
+        context.noticed = list(context.entry.cancelled)
+
+    _with_caller(context, scenario)
+
+
+@then("the request of the upload is cancelled")
+def step_upload_cancelled(context: Any) -> None:
+    assert context.noticed == ["/1"], context.noticed
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 from typing import cast
@@ -43,6 +44,7 @@
 # answer.
 LINGER_SECONDS = 1.0
 LOGGED_ERROR_CHARACTERS = 200
+CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -82,6 +84,7 @@
     :param log: event log
     :param on_open: called with this connection when it opens
     :param on_close: called with this connection when it has closed
+    :param on_pause: called with this connection when its reading is paused
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         log: EventLog,
         on_open: Callable[[CallerConnection], None],
         on_close: Callable[[CallerConnection], None],
+        on_pause: Callable[[CallerConnection], None],
     ) -> None:
         parser = HttpRequestParser(
             self,
@@ -110,6 +114,7 @@
         self._log = log
         self._on_open = on_open
         self._on_close = on_close
+        self._on_pause = on_pause
         self._exchanges: list[_Exchange] = []
         self._last_payload: StreamReader | None = None
         self._head_started_seconds: float | None = None
@@ -125,6 +130,31 @@
         """Whether a request has not been answered completely."""
         return bool(self._exchanges)
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the connection is open and its reading is paused."""
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return False
+        return not transport.is_reading()
+
+    def has_caller_left(self) -> bool:
+        """Ask the system whether the caller has closed or reset its side.
+
+        :return: whether it has; what it sent before may still be unread
+        """
+        if self.transport is None:
+            return True
+        poll = select.poll()
+        raw = self.transport.get_extra_info("socket")
+        poll.register(raw.fileno(), select.POLLRDHUP)
+        return any(events & CLOSED_EVENTS for _, events in poll.poll(0))
+
+    def pause_reading(self) -> None:
+        """Stop reading until what has been read is taken."""
+        super().pause_reading()
+        self._on_pause(self)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport.
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -14,6 +14,7 @@
 from .entry_result import EntryResult
 from .http_connection import CallerConnection
 from .http_connection import ConnectionTimeouts
+from .paused_connections import PausedConnections
 from .protocol import NativeCallerProtocol
 
 
@@ -65,6 +66,7 @@
         )
         self._listener: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
+        self._paused = PausedConnections()
         self._in_progress: dict[int, str] = {}
         self._request_numbers = count(1)
         self._announces_close = False
@@ -133,6 +135,7 @@
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
         for connection in list(self._connections):
             connection.abort()
+        self._paused.close()
         if self._timer is not None:
             self._timer.cancel()
 
@@ -145,6 +148,7 @@
             self._log,
             self._on_open,
             self._on_close,
+            self._paused.add,
         )
 
     def _on_open(self, connection: CallerConnection) -> None:
