Limit own retries and all repeats of a service apart

Cause: calls of retried runs counted into the share of 10% for retries after a failure, which had been set low because such runs multiply the load below. Services whose callers retried got nearly no retries of their own.

Change: own retries keep their shares (10%, up to 17% after a refusal); together with the calls of retried runs they stay within 17%.

--- a/packages/policy/src/marjoramstep_policy/retries/service_retry_budget.py
+++ b/packages/policy/src/marjoramstep_policy/retries/service_retry_budget.py
@@ -19,6 +19,9 @@
 # Higher than RETRY_SHARE: a call that a backend server refused made no sub-calls, so
 # retrying it does not multiply the load downstream.
 REFUSED_CALL_SHARE = 0.17
+# Limit of retries together with the calls that retried runs make. They add up along a
+# chain of services, and each service has to stay within it.
+CHAIN_SHARE = 0.17
 # Minimum of retries in a window, for services with little traffic.
 RETRY_FLOOR = 3
 MAX_SERVICES = 1024
@@ -54,18 +57,22 @@
 
 
 class _Window:
-    """First attempts, retries and the highest weight in a ring of time buckets.
+    """First attempts, repeats and the highest weight in a ring of time buckets.
 
-    The ring has one bucket more than the window. Retries are counted over the whole
+    Repeats are retries and the calls of retried runs; ``retries`` are those of the
+    callers of this node only.
+
+    The ring has one bucket more than the window. Repeats are counted over the whole
     ring, first attempts without its oldest bucket, so that the limit holds for any
     window position and not only on average.
     """
 
-    __slots__ = ("first_attempts", "last_tick", "max_weights", "retries")
+    __slots__ = ("first_attempts", "last_tick", "max_weights", "repeats", "retries")
 
     def __init__(self, tick: int) -> None:
         self.first_attempts = [0] * (BUCKETS + 1)
         self.retries = [0] * (BUCKETS + 1)
+        self.repeats = [0] * (BUCKETS + 1)
         self.max_weights = [0] * (BUCKETS + 1)
         self.last_tick = tick
 
@@ -77,18 +84,22 @@
         ):
             self.first_attempts[expired_tick % (BUCKETS + 1)] = 0
             self.retries[expired_tick % (BUCKETS + 1)] = 0
+            self.repeats[expired_tick % (BUCKETS + 1)] = 0
             self.max_weights[expired_tick % (BUCKETS + 1)] = 0
         self.last_tick = tick
         return tick % (BUCKETS + 1)
 
     def try_spend(self, tick: int, share: float) -> bool:
-        """Count a retry if it stays within ``RETRY_FLOOR`` or the share."""
+        """Count a retry if it stays within ``RETRY_FLOOR`` or both shares."""
         index = self.advance(tick)
         oldest = (index + 1) % (BUCKETS + 1)
         first_attempts = sum(self.first_attempts) - self.first_attempts[oldest]
         if sum(self.retries) + 1 > max(RETRY_FLOOR, share * first_attempts):
             return False
+        if sum(self.repeats) + 1 > max(RETRY_FLOOR, CHAIN_SHARE * first_attempts):
+            return False
         self.retries[index] += 1
+        self.repeats[index] += 1
         return True
 
 
@@ -98,8 +109,8 @@
 
     The share is 10% for calls that may have run and, depending on
     ``REFUSED_CALL_PARTS``, up to 17% for calls that a backend server refused. Both
-    kinds of retries count together with the calls that retried runs make, and
-    ``RETRY_FLOOR`` retries are always allowed.
+    kinds of retries count together. With the calls that retried runs make they stay
+    within ``CHAIN_SHARE``. Up to ``RETRY_FLOOR`` repeats are always allowed.
 
     When ``MAX_SERVICES`` services are tracked and a further one is called, services
     that were idle for a whole window are discarded. If there is none, the further
@@ -135,7 +146,7 @@
         tick = self._tick()
         window = self._window(service, tick)
         if window is not None:
-            window.retries[window.advance(tick)] += 1
+            window.repeats[window.advance(tick)] += 1
 
     def try_spend_after_failure(self, service: ServiceName) -> bool:
         """Count a retry of a call that may have run, if the budget allows it.
