--- /dev/null
+++ b/packages/daemon/src/marjoramstep_daemon/callers/connection_timeouts.py
@@ -0,0 +1,17 @@
+"""Timeouts of the connections of callers."""
+
+from __future__ import annotations
+
+
+class ConnectionTimeouts:
+    """Timeouts of callers' connections; shared by all connections.
+
+    :param header_timeout_seconds: from the first byte of a request head to its end
+    :param idle_timeout_seconds: between an answer and the next request
+    """
+
+    def __init__(
+        self, header_timeout_seconds: float, idle_timeout_seconds: float
+    ) -> None:
+        self.header_timeout_seconds = header_timeout_seconds
+        self.idle_timeout_seconds = idle_timeout_seconds
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import select
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -16,7 +15,6 @@
 from aiohttp.streams import EMPTY_PAYLOAD
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.errors import MarjoramstepError
-from multidict import CIMultiDict
 
 from ..calls import INLINE_BODY_LIMIT_BYTES
 from ..calls import UNKNOWN_LENGTH
@@ -25,9 +23,12 @@
 from ..http.message import HttpAnswer
 from ..http.message import HttpRequest
 from ..http.message import decode_headers
+from ..http.message import plain_answer
+from .exchange import Exchange
 
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Awaitable
     from collections.abc import Callable
 
@@ -35,6 +36,7 @@
     from aiohttp.streams import StreamReader
 
     from ..log import EventLog
+    from .connection_timeouts import ConnectionTimeouts
 
 HEADER_SIZE_LIMIT_BYTES = 16_384
 # Concurrent requests of one connection; reading is paused above this limit.
@@ -48,32 +50,6 @@
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
-class ConnectionTimeouts:
-    """Timeouts of callers' connections; shared by all connections.
-
-    :param header_timeout_seconds: from the first byte of a request head to its end
-    :param idle_timeout_seconds: between an answer and the next request
-    """
-
-    def __init__(
-        self, header_timeout_seconds: float, idle_timeout_seconds: float
-    ) -> None:
-        self.header_timeout_seconds = header_timeout_seconds
-        self.idle_timeout_seconds = idle_timeout_seconds
-
-
-class _Exchange:
-    """One request and its answer."""
-
-    def __init__(self, message: RawRequestMessage, payload: StreamReader) -> None:
-        self.message = message
-        self.payload = payload
-        self.is_done = asyncio.Event()
-        self.has_started = False
-        self.has_answer = False
-        self.task: asyncio.Task[None] | None = None
-
-
 class CallerConnection(BaseProtocol):
     """Owns one socket; answers are sent in the order of their requests.
 
@@ -115,7 +91,7 @@
         self._on_open = on_open
         self._on_close = on_close
         self._on_pause = on_pause
-        self._exchanges: list[_Exchange] = []
+        self._exchanges: list[Exchange] = []
         self._last_payload: StreamReader | None = None
         self._head_started_seconds: float | None = None
         self._idle_since_seconds = loop.time()
@@ -249,7 +225,7 @@
         if self._is_closing or not self._takes_requests:
             # Requests pipelined after one that closes the connection are ignored.
             return
-        exchange = _Exchange(message, payload)
+        exchange = Exchange(message, payload)
         previous = self._exchanges[-1] if self._exchanges else None
         self._exchanges.append(exchange)
         self._last_payload = payload
@@ -269,7 +245,7 @@
         elif data and self._head_started_seconds is None:
             self._head_started_seconds = self._loop.time()
 
-    async def _run(self, exchange: _Exchange, previous: _Exchange | None) -> None:
+    async def _run(self, exchange: Exchange, previous: Exchange | None) -> None:
         exchange.has_started = True
         answer: HttpAnswer | None = None
         try:
@@ -292,7 +268,7 @@
                 answer.body.abandon()
             self._finish(exchange)
 
-    async def _answer(self, exchange: _Exchange) -> HttpAnswer:
+    async def _answer(self, exchange: Exchange) -> HttpAnswer:
         message = exchange.message
         try:
             # An interim answer must not precede the answers of earlier requests.
@@ -331,7 +307,7 @@
         address = self.transport.get_extra_info("peername")
         return address[0] if address else ""
 
-    async def _write(self, exchange: _Exchange, answer: HttpAnswer) -> None:
+    async def _write(self, exchange: Exchange, answer: HttpAnswer) -> None:
         message = exchange.message
         headers, body = answer.headers, answer.body
         is_http_1_1 = message.version >= HttpVersion11
@@ -369,7 +345,7 @@
         if closes:
             self._cancel_others_and_close(exchange)
 
-    def _cancel_others_and_close(self, exchange: _Exchange) -> None:
+    def _cancel_others_and_close(self, exchange: Exchange) -> None:
         for other in self._exchanges:
             if other is not exchange and other.task is not None:
                 other.task.cancel()
@@ -380,7 +356,7 @@
             transport.write_eof()
         self._loop.call_later(LINGER_SECONDS, transport.close)
 
-    def _finish(self, exchange: _Exchange) -> None:
+    def _finish(self, exchange: Exchange) -> None:
         exchange.is_done.set()
         if exchange in self._exchanges:
             self._exchanges.remove(exchange)
@@ -414,20 +390,6 @@
         self._loop.call_later(LINGER_SECONDS, self.transport.close)
 
 
-def plain_answer(status: int, text: str, *, closes: bool = False) -> HttpAnswer:
-    """Build a plain-text answer.
-
-    :param status: status code
-    :param text: the text, a single line
-    :param closes: whether the connection closes after it
-    :return: the answer
-    """
-    data = f"{text}\n".encode()
-    headers = CIMultiDict({"Content-Type": "text/plain; charset=utf-8"})
-    headers["Content-Length"] = str(len(data))
-    return HttpAnswer(status, headers, Body(data, length=len(data)), closes)
-
-
 def _status_line(status: int) -> str:
     try:
         phrase = HTTPStatus(status).phrase
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -11,9 +11,9 @@
 from marjoramstep_core.states import Reason
 
 from ..calls import Failed
+from .connection_timeouts import ConnectionTimeouts
 from .entry_result import EntryResult
 from .http_connection import CallerConnection
-from .http_connection import ConnectionTimeouts
 from .paused_connections import PausedConnections
 from .protocol import NativeCallerProtocol
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/protocol.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/protocol.py
@@ -11,10 +11,10 @@
 from ..calls import Answer
 from ..calls import Refused
 from ..http.message import HttpAnswer
+from ..http.message import plain_answer
 from .entry_request import BadKeyError
 from .entry_request import parse_request
 from .entry_result import EntryResult
-from .http_connection import plain_answer
 from .responses import headers_of
 from .responses import status_of
 
--- a/packages/daemon/src/marjoramstep_daemon/http/message.py
+++ b/packages/daemon/src/marjoramstep_daemon/http/message.py
@@ -6,14 +6,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from multidict import CIMultiDict
+
+from ..calls import Body
+
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from collections.abc import Mapping
 
-    from multidict import CIMultiDict
-
-    from ..calls import Body
     from ..calls import HeaderList
 
 # All but the horizontal tab (RFC 9110, 5.5). Parsers accept them, writers do not.
@@ -70,3 +71,17 @@
     :return: whether a value holds a control character
     """
     return any(_CONTROL_CHARACTER.search(value) for _, value in raw_headers)
+
+
+def plain_answer(status: int, text: str, *, closes: bool = False) -> HttpAnswer:
+    """Build a plain-text answer.
+
+    :param status: status code
+    :param text: the text, a single line
+    :param closes: whether the connection closes after it
+    :return: the answer
+    """
+    data = f"{text}\n".encode()
+    headers = CIMultiDict({"Content-Type": "text/plain; charset=utf-8"})
+    headers["Content-Length"] = str(len(data))
+    return HttpAnswer(status, headers, Body(data, length=len(data)), closes)
--- a/packages/platform/src/marjoramstep_platform/caller_protocol.py
+++ b/packages/platform/src/marjoramstep_platform/caller_protocol.py
@@ -10,10 +10,10 @@
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
 from marjoramstep_daemon.callers.entry_request import EntryRequest
-from marjoramstep_daemon.callers.http_connection import plain_answer
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Refused
 from marjoramstep_daemon.http.message import HttpAnswer
+from marjoramstep_daemon.http.message import plain_answer
 from marjoramstep_daemon.http_headers import select_forwarded_headers
 from multidict import CIMultiDict
 
