Known red: a configuration of 2,800 routes cannot be stored

The scenario fails: its command has 2,110,905 bytes, a log entry holds 1,835,008. Not fixed: what stands in the log for a replacement of the table would have to change.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -39,3 +39,11 @@
 
   Scenario: Decoding damaged input gives a configuration or an invalid-input error
     Then decoding 300 damaged configurations gives a configuration or an invalid-input error
+
+  # Guards against a configuration that is neither acknowledged nor refused: its command is
+  # longer than a log entry may be.
+  Scenario: A large configuration that the interface takes can be stored
+    Given a configuration with 2800 routes
+    When it is decoded
+    Then its command fits into a log entry
+
--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -12,7 +12,12 @@
 from behave import when
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.table import Row
+from marjoramstep_daemon.control.proposal_queue import PAYLOAD_LIMIT_BYTES
 from marjoramstep_platform.configuration import Configuration
+from marjoramstep_platform.configuration_api import BODY_LIMIT_BYTES
+from marjoramstep_platform.configuration_api import OPERATOR
+from marjoramstep_state.commands import encode_command
+from marjoramstep_state.edit_commands import ReplaceTable
 
 
 SEED = 11
@@ -214,3 +219,30 @@
         except InvalidInputError:
             refused += 1
     assert 0 < refused < count, refused
+
+
+@given("a configuration with {count:d} routes")
+def step_large_configuration(context: Any, count: int) -> None:
+    context.document = _document()
+    context.document["resources"] += [
+        _route(f"r-{number:07d}", f"/leny{number:04d}/", "safe", 2, service="huvo11a")
+        for number in range(count)
+    ]
+
+
+@then("its command fits into a log entry")
+def step_fits(context: Any) -> None:
+    configuration = context.decoded
+    assert len(configuration.source.encode()) < BODY_LIMIT_BYTES
+    command = ReplaceTable(
+        0,
+        configuration.digest,
+        configuration.version,
+        configuration.base_version,
+        OPERATOR,
+        "10.0.0.1",
+        configuration.rows,
+        configuration.source,
+    )
+    size = len(encode_command(command))
+    assert size <= PAYLOAD_LIMIT_BYTES, size
