Send an interim answer also behind an earlier answer

Callers saw: a request with Expect: 100-continue behind another one on its connection reached no server and got 400 after 30 s, since its caller waited for the interim answer and the node for the body.

Cause: the interim answer was sent only if no earlier request was unanswered when the request's task began. It is sent now once the request is the first one of its connection, not to HTTP/1.0, and not if the body or the answer is there.

Test: body_arrival.feature, the table of all ways in which the body of a last and of a kept request may arrive, each with 17 forms of the request and both parsers of the library.

--- a/packages/daemon/src/marjoramstep_daemon/callers/exchange.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/exchange.py
@@ -5,11 +5,15 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from aiohttp.http import HttpVersion11
+
 
 if TYPE_CHECKING:
     from aiohttp.http import RawRequestMessage
     from aiohttp.streams import StreamReader
 
+INTERIM_EXPECTATION = "100-continue"
+
 
 class Exchange:
     """One request and its answer.
@@ -24,4 +28,18 @@
         self.is_done = asyncio.Event()
         self.has_started = False
         self.has_answer = False
+        self.expects_interim_answer = _expects_interim_answer(message)
         self.task: asyncio.Task[None] | None = None
+
+    @property
+    def needs_interim_answer(self) -> bool:
+        """Whether the caller waits for an interim answer before it sends the body."""
+        is_waiting = self.expects_interim_answer and not self.has_answer
+        return is_waiting and not self.payload.is_eof()
+
+
+def _expects_interim_answer(message: RawRequestMessage) -> bool:
+    """Return whether the caller may wait for an interim answer before its body."""
+    if message.version < HttpVersion11:
+        return False
+    return message.headers.get("Expect", "").lower() == INTERIM_EXPECTATION
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -47,6 +47,7 @@
 LINGER_SECONDS = 1.0
 LOGGED_ERROR_CHARACTERS = 200
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -271,11 +272,7 @@
     async def _answer(self, exchange: Exchange) -> HttpAnswer:
         message = exchange.message
         try:
-            # An interim answer must not precede the answers of earlier requests.
-            if "Expect" in message.headers and self._exchanges[0] is exchange:
-                cast("asyncio.Transport", self.transport).write(
-                    b"HTTP/1.1 100 Continue\r\n\r\n"
-                )
+            self._ask_for_body()
             body = Body()
             if exchange.payload is not EMPTY_PAYLOAD:
                 length = message.headers.get("Content-Length")
@@ -301,6 +298,16 @@
             self._log.write("internal error", step="answer", error=repr(error))
             return plain_answer(500, "internal error", closes=True)
 
+    def _ask_for_body(self) -> None:
+        """Send an interim answer if the caller of the first request waits for it.
+
+        It must not precede the answers of earlier requests.
+        """
+        exchange = self._exchanges[0]
+        if exchange.needs_interim_answer and self.transport is not None:
+            exchange.expects_interim_answer = False
+            self.transport.write(INTERIM_ANSWER)
+
     def _peer_host(self) -> str:
         if self.transport is None:
             return ""
@@ -361,6 +368,8 @@
         if exchange in self._exchanges:
             self._exchanges.remove(exchange)
         self._idle_since_seconds = self._loop.time()
+        if self._exchanges:
+            self._ask_for_body()
         if self._buffer_paused and len(self._exchanges) <= PIPELINE_LIMIT:
             self._resume_reading_for_buffer()
 
