One explicit state for the connection of a caller

In place of _is_closing, _takes_requests, _closes_after_answer and the payload beside them there is one state (open, close announced, last request, closing, closed) that only moves forward, with its transitions in connection_state.py.

One difference: an answer on a connection whose caller asked for another protocol says now that the connection closes; before, the connection stayed open and dropped all that arrived.

The long body of the table contains what ends a head now.

--- a/features/steps/daemon_body_arrival_steps.py
+++ b/features/steps/daemon_body_arrival_steps.py
@@ -16,7 +16,7 @@
 from daemon_harness import make_tables
 from daemon_harness import run
 from marjoramstep_core.states import Outcome
-from marjoramstep_daemon.callers import http_connection
+from marjoramstep_daemon.callers import request_receiver
 from marjoramstep_daemon.callers.entry_result import EntryResult
 from marjoramstep_daemon.callers.listener import CallerListener
 from marjoramstep_daemon.calls import Answer
@@ -109,7 +109,7 @@
         )
 
     context.way = way
-    with mock.patch.object(http_connection, "HttpRequestParser", PARSERS[parser]):
+    with mock.patch.object(request_receiver, "HttpRequestParser", PARSERS[parser]):
         run(scenario())
 
 
--- a/features/support/body_arrivals.py
+++ b/features/support/body_arrivals.py
@@ -21,7 +21,8 @@
 # Long enough for the parts to arrive in reads of their own.
 PAUSE_SECONDS = 0.01
 SHORT_BODY = bytes(range(65, 91)) * 12
-LONG_BODY = bytes(range(250)) * 6_000
+# Contains what ends a head.
+LONG_BODY = (bytes(range(246)) + b"\r\n\r\n") * 6_000
 LONG_PARTS = 12
 CHUNK_BYTES = 100
 LONG_CHUNK_BYTES = 70_000
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -8,23 +8,21 @@
 from typing import cast
 
 from aiohttp.base_protocol import BaseProtocol
-from aiohttp.http import HttpRequestParser
-from aiohttp.http import HttpVersion11
-from aiohttp.http import StreamWriter
-from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import EMPTY_PAYLOAD
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.errors import MarjoramstepError
 
-from ..calls import INLINE_BODY_LIMIT_BYTES
-from ..calls import UNKNOWN_LENGTH
 from ..calls import Body
 from ..http.body_reader import read_body
 from ..http.message import HttpAnswer
 from ..http.message import HttpRequest
 from ..http.message import decode_headers
 from ..http.message import plain_answer
-from .exchange import Exchange
+from .answer_writer import AnswerWriter
+from .answer_writer import write_refusal
+from .connection_state import ConnectionLifecycle
+from .request_receiver import MalformedRequestError
+from .request_receiver import RequestReceiver
 
 
 if TYPE_CHECKING:
@@ -32,23 +30,18 @@
     from collections.abc import Awaitable
     from collections.abc import Callable
 
-    from aiohttp.http import RawRequestMessage
-    from aiohttp.streams import StreamReader
-
     from ..log import EventLog
     from .connection_timeouts import ConnectionTimeouts
+    from .exchange import Exchange
 
-HEADER_SIZE_LIMIT_BYTES = 16_384
 # Concurrent requests of one connection; reading is paused above this limit.
 PIPELINE_LIMIT = 32
 # How long a closing connection still reads and discards data from the caller. Closing
 # a socket with unread bytes resets the connection, and the caller could lose the
 # answer.
 LINGER_SECONDS = 1.0
-LOGGED_ERROR_CHARACTERS = 200
 CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 INTERIM_ANSWER = b"HTTP/1.1 100 Continue\r\n\r\n"
-STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class CallerConnection(BaseProtocol):
@@ -75,16 +68,7 @@
         on_close: Callable[[CallerConnection], None],
         on_pause: Callable[[CallerConnection], None],
     ) -> None:
-        parser = HttpRequestParser(
-            self,
-            loop,
-            INLINE_BODY_LIMIT_BYTES,
-            max_line_size=HEADER_SIZE_LIMIT_BYTES,
-            max_field_size=HEADER_SIZE_LIMIT_BYTES,
-            payload_exception=InvalidInputError,
-            auto_decompress=False,
-        )
-        super().__init__(loop, parser)
+        super().__init__(loop, None)
         self._handle = handle
         self._refuse_request = refuse
         self._timeouts = timeouts
@@ -93,14 +77,11 @@
         self._on_close = on_close
         self._on_pause = on_pause
         self._exchanges: list[Exchange] = []
-        self._last_payload: StreamReader | None = None
-        self._head_started_seconds: float | None = None
+        self._lifecycle = ConnectionLifecycle()
+        self._receiver = RequestReceiver(self, loop, self._lifecycle)
+        # The base class has it parse on what it held back while a body was not read.
+        self._parser = self._receiver.parser
         self._idle_since_seconds = loop.time()
-        # Whether what still arrives is dropped.
-        self._is_closing = False
-        # Whether another request may follow; the body of the last one is still read.
-        self._takes_requests = True
-        self._closes_after_answer = False
 
     @property
     def is_busy(self) -> bool:
@@ -155,6 +136,7 @@
             if exchange.task is not None:
                 exchange.task.cancel()
         self._parser = None
+        self._lifecycle.end()
         self._on_close(self)
 
     def data_received(self, data: bytes) -> None:
@@ -162,36 +144,30 @@
 
         :param data: received bytes, empty when reading resumes after a pause
         """
-        if self._parser is None or self._is_closing:
-            return
-        was_in_body = self._is_in_body()
-        if not self._takes_requests and not was_in_body:
-            return
         try:
-            messages, upgraded, _ = self._parser.feed_data(data)
-        except HttpProcessingError as error:
-            self._on_malformed(error)
+            for exchange in self._receiver.feed(data):
+                self._start(exchange)
+        except MalformedRequestError as error:
+            self._log.write(
+                "malformed request",
+                step=error.step,
+                peer=error.peer,
+                error=error.message,
+            )
+            self._refuse(HTTPStatus.BAD_REQUEST)
             return
-        for message, payload in messages:
-            self._start(message, payload)
-        if upgraded:
-            # The protocol cannot be changed; the data that follows is not HTTP.
-            self._is_closing = True
-        if not was_in_body:
-            self._track_incomplete_head(bool(messages), data)
         if len(self._exchanges) > PIPELINE_LIMIT:
             self._pause_reading_for_buffer()
 
     def close_when_idle(self) -> None:
         """Close the connection now if it is idle, otherwise after the last answer."""
-        self._takes_requests = False
-        self._closes_after_answer = True
+        self._lifecycle.end_requests()
         if not self._exchanges and self.transport is not None:
             self.transport.close()
 
     def announce_close(self) -> None:
         """Send ``Connection: close`` with the next answer."""
-        self._closes_after_answer = True
+        self._lifecycle.announce_close()
 
     def cancel_unanswered(self) -> None:
         """Cancel the requests that have no answer yet; ready answers are still sent."""
@@ -206,11 +182,12 @@
 
         :param now: time of the event loop in seconds
         """
-        if self._head_started_seconds is not None:
-            if now - self._head_started_seconds > self._timeouts.header_timeout_seconds:
-                self._head_started_seconds = None
-                self._is_closing = True
-                self._loop.create_task(self._send_refusal(408))
+        head_started_seconds = self._receiver.head_started_seconds
+        if head_started_seconds is not None:
+            waited_seconds = now - head_started_seconds
+            if waited_seconds > self._timeouts.header_timeout_seconds:
+                self._receiver.forget_head()
+                self._refuse(HTTPStatus.REQUEST_TIMEOUT)
         elif (
             not self._exchanges
             and now - self._idle_since_seconds > self._timeouts.idle_timeout_seconds
@@ -222,30 +199,11 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def _start(self, message: RawRequestMessage, payload: StreamReader) -> None:
-        if self._is_closing or not self._takes_requests:
-            # Requests pipelined after one that closes the connection are ignored.
-            return
-        exchange = Exchange(message, payload)
+    def _start(self, exchange: Exchange) -> None:
         previous = self._exchanges[-1] if self._exchanges else None
         self._exchanges.append(exchange)
-        self._last_payload = payload
-        if message.should_close:
-            self._takes_requests = False
         exchange.task = self._loop.create_task(self._run(exchange, previous))
 
-    def _is_in_body(self) -> bool:
-        """Return whether the body of the last request has not arrived in full."""
-        payload = self._last_payload
-        return payload is not None and not payload.is_eof()
-
-    def _track_incomplete_head(self, has_messages: bool, data: bytes) -> None:
-        """Record when an incomplete request head began, for the header timeout."""
-        if has_messages or self._is_in_body():
-            self._head_started_seconds = None
-        elif data and self._head_started_seconds is None:
-            self._head_started_seconds = self._loop.time()
-
     async def _run(self, exchange: Exchange, previous: Exchange | None) -> None:
         exchange.has_started = True
         answer: HttpAnswer | None = None
@@ -316,39 +274,16 @@
 
     async def _write(self, exchange: Exchange, answer: HttpAnswer) -> None:
         message = exchange.message
-        headers, body = answer.headers, answer.body
-        is_http_1_1 = message.version >= HttpVersion11
-        omits_body = message.method == "HEAD" or answer.status in STATUSES_WITHOUT_BODY
-        writer = StreamWriter(self, self._loop)
         unread = not exchange.payload.is_eof()
         # A later request may already be running, so its answer is still sent.
         is_last = self._exchanges[-1] is exchange
         closes = answer.closes or unread or message.should_close
-        closes = closes or (self._closes_after_answer and is_last)
-        if body.is_complete:
-            if answer.status not in STATUSES_WITHOUT_BODY:
-                headers.setdefault("Content-Length", str(len(body.data)))
-        elif body.length != UNKNOWN_LENGTH:
-            headers["Content-Length"] = str(body.length)
-        elif is_http_1_1:
-            headers["Transfer-Encoding"] = "chunked"
-            writer.enable_chunking()
-        else:
-            closes = True
+        closes = closes or (is_last and self._lifecycle.closes_after_last_answer)
+        writer = AnswerWriter(self, self._loop, answer)
+        closes = writer.frame(message, closes=closes)
         if closes:
-            headers["Connection"] = "close"
-            self._is_closing = True
-        elif not is_http_1_1:
-            headers["Connection"] = "keep-alive"
-        await writer.write_headers(_status_line(answer.status), headers)
-        if omits_body:
-            await writer.write_eof()
-        elif body.is_complete:
-            await writer.write_eof(body.data)
-        else:
-            async for part in body.parts():
-                await writer.write(part)
-            await writer.write_eof()
+            self._lifecycle.start_closing()
+        await writer.write(message)
         if closes:
             self._cancel_others_and_close(exchange)
 
@@ -373,35 +308,15 @@
         if self._buffer_paused and len(self._exchanges) <= PIPELINE_LIMIT:
             self._resume_reading_for_buffer()
 
-    def _on_malformed(self, error: HttpProcessingError) -> None:
-        if self._takes_requests:
-            self._refuse_malformed(error)
-        elif self._last_payload is not None and self._is_in_body():
-            self._last_payload.set_exception(ConnectionResetError(str(error.message)))
-
-    def _refuse_malformed(self, error: HttpProcessingError) -> None:
-        """Refuse malformed input once all pending answers have been sent."""
-        text = str(error.message)[:LOGGED_ERROR_CHARACTERS]
-        self._log.write("malformed request", step="http", peer="caller", error=text)
-        self._is_closing = True
-        self._loop.create_task(self._send_refusal(400))
+    def _refuse(self, status: HTTPStatus) -> None:
+        """Refuse what is no request once all pending answers have been sent."""
+        self._lifecycle.start_closing()
+        self._loop.create_task(self._send_refusal(status))
 
-    async def _send_refusal(self, status: int) -> None:
+    async def _send_refusal(self, status: HTTPStatus) -> None:
         for exchange in list(self._exchanges):
             await exchange.is_done.wait()
         if self.transport is None:
             return
-        answer = plain_answer(status, HTTPStatus(status).phrase, closes=True)
-        answer.headers["Connection"] = "close"
-        writer = StreamWriter(self, self._loop)
-        await writer.write_headers(_status_line(status), answer.headers)
-        await writer.write_eof(answer.body.data)
+        await write_refusal(self, self._loop, status)
         self._loop.call_later(LINGER_SECONDS, self.transport.close)
-
-
-def _status_line(status: int) -> str:
-    try:
-        phrase = HTTPStatus(status).phrase
-    except ValueError:
-        phrase = "Unknown"
-    return f"HTTP/1.1 {status} {phrase}"
