Run a request although what follows it in the same read is malformed

Callers saw: a request with malformed bytes, or with a further request behind Connection: close, in the same read was not run and answered 400; in two reads it was answered. The parser raises an error for a whole read and drops the requests that it has found in it. It is fed in pieces that end where a head may end, so that a request begins before what follows it.

--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -55,6 +55,20 @@
     When a caller sends a request behind the body of one with Connection: close
     Then only the first of them is run and answered
 
+  # Guards against a 400 that takes the place of an answer: a request was dropped if
+  # bytes that are no request arrived in the same read.
+  Scenario Outline: Malformed bytes behind a request do not cost it its answer
+    When a caller sends <request> and malformed bytes in one read
+    Then the request is answered first, and then <next>
+
+    Examples:
+      | request                        | next                     |
+      | a request                      | the malformed one by 400 |
+      | a request with a body          | the malformed one by 400 |
+      | a last request                 | the connection ends      |
+      | a last request with a body     | the connection ends      |
+      | a last request with chunks     | the connection ends      |
+
   # Guards against a 408 and a close while a request runs or its connection is idle: the
   # end of a body was taken for the beginning of the next request's head.
   Scenario: The end of a body does not start the header timeout
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -35,6 +35,7 @@
 
 HEADER_TIMEOUT_SECONDS = 30.0
 UPLOAD_BYTES = 4_000_000
+ANSWER_LIMIT_SECONDS = 5.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
@@ -312,6 +313,41 @@
     assert context.rest == b"", context.rest
 
 
+REQUESTS = {
+    "a request": _get("/1"),
+    "a request with a body": _post("/1", 4).replace(b"Connection: close\r\n", b"")
+    + b"body",
+    "a last request": _get("/1").replace(b"Host", b"Connection: close\r\nHost"),
+    "a last request with a body": _post("/1", 4) + b"body",
+    "a last request with chunks": _post("/1", 4).replace(
+        b"Content-Length: 4", b"Transfer-Encoding: chunked"
+    )
+    + b"4\r\nbody\r\n0\r\n\r\n",
+}
+
+
+@when("a caller sends {request} and malformed bytes in one read")
+def step_malformed_behind(context: Any, request: str) -> None:
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        context.entry.releases["/1"] = asyncio.Event()
+        context.entry.releases["/1"].set()
+        writer.write(REQUESTS[request] + b"not a request\r\n\r\n")
+        async with asyncio.timeout(ANSWER_LIMIT_SECONDS):
+            context.received = await reader.read()
+
+    _with_caller(context, scenario)
+
+
+@then("the request is answered first, and then {following}")
+def step_answered_first(context: Any, following: str) -> None:
+    head, _, rest = context.received.partition(b"\r\n\r\n/1")
+    assert head.startswith(b"HTTP/1.1 200 "), context.received
+    if following == "the connection ends":
+        assert rest == b"", context.received
+    else:
+        assert rest.startswith(b"HTTP/1.1 400 "), context.received
+
+
 @when(
     "a body ends in another read than its head and more than the header timeout passes"
 )
--- a/packages/daemon/src/marjoramstep_daemon/callers/connection_state.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/connection_state.py
@@ -28,6 +28,9 @@
 _ORDER = {state: position for position, state in enumerate(ConnectionState)}
 _TAKES_REQUESTS = frozenset({ConnectionState.OPEN, ConnectionState.CLOSE_ANNOUNCED})
 _READS = _TAKES_REQUESTS | {ConnectionState.LAST_REQUEST}
+_CLOSES_AFTER_LAST_ANSWER = frozenset(
+    {ConnectionState.CLOSE_ANNOUNCED, ConnectionState.LAST_REQUEST}
+)
 
 
 class ConnectionLifecycle:
@@ -54,7 +57,7 @@
     @property
     def closes_after_last_answer(self) -> bool:
         """Whether an answer behind which no request waits closes the connection."""
-        return self._state is not ConnectionState.OPEN
+        return self._state in _CLOSES_AFTER_LAST_ANSWER
 
     def announce_close(self) -> None:
         """Close after the next answer behind which no request waits."""
--- a/packages/daemon/src/marjoramstep_daemon/callers/request_receiver.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/request_receiver.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     import asyncio
+    from collections.abc import Iterator
 
     from aiohttp.base_protocol import BaseProtocol
     from aiohttp.http import RawRequestMessage
@@ -23,6 +24,9 @@
 
 HEADER_SIZE_LIMIT_BYTES = 16_384
 LOGGED_ERROR_CHARACTERS = 200
+HEAD_END = b"\r\n\r\n"
+# Pieces into which one read is split; a body may contain the end of a head many times.
+PIECES_LIMIT = 64
 
 
 class MalformedRequestError(InvalidInputError):
@@ -69,13 +73,18 @@
         """Wait no longer for the rest of a head."""
         self._head_started_seconds = None
 
-    def feed(self, data: bytes) -> list[Exchange]:
+    def feed(self, data: bytes) -> Iterator[Exchange]:
         """Parse received bytes.
 
         :param data: received bytes, empty when reading resumes after a pause
         :return: the requests that begin in them
-        :raises MalformedRequestError: if the bytes are no request
+        :raises MalformedRequestError: if bytes are no request; what came before them is
+            returned first
         """
+        for piece in _split_behind_heads(data):
+            yield from self._feed_piece(piece)
+
+    def _feed_piece(self, data: bytes) -> list[Exchange]:
         was_in_body = self._is_in_body()
         if not self._lifecycle.reads:
             return []
@@ -94,7 +103,7 @@
         ]
         if upgraded:
             # The protocol cannot be changed; the data that follows is not HTTP.
-            self._lifecycle.start_closing()
+            self._lifecycle.end_requests()
         if not was_in_body:
             self._track_incomplete_head(bool(messages), data)
         return begun
@@ -125,3 +134,19 @@
             ) from error
         if self._last_payload is not None and self._is_in_body():
             self._last_payload.set_exception(ConnectionResetError(text))
+
+
+def _split_behind_heads(data: bytes) -> Iterator[bytes]:
+    """Split received bytes where a head may end.
+
+    The parser drops the requests that it has found in a piece if something in the same
+    piece is malformed.
+    """
+    start = 0
+    for _ in range(PIECES_LIMIT - 1):
+        end = data.find(HEAD_END, start) + len(HEAD_END)
+        if end < len(HEAD_END) or end == len(data):
+            break
+        yield data[start:end]
+        start = end
+    yield data[start:]
