Deliver an answer although what follows it in the same read is malformed

Callers saw: 502 for a request that had run and been answered, if the server wrote bytes that are no answer behind it and both arrived in one read. Cause as for requests: the parser drops what it has found in a read with an error. Both sides divide what was read now (http/pieces.py).

--- a/features/daemon/server_connection.feature
+++ b/features/daemon/server_connection.feature
@@ -75,6 +75,31 @@
       | chunks   |
       | a close  |
 
+  # Guards against an answer that is ready and is not delivered: it was dropped if what
+  # follows it in the same read is malformed.
+  Scenario Outline: Malformed bytes behind a whole answer do not cost the caller the answer
+    When a backend server sends an answer framed by <framing> and malformed bytes in one write
+    Then both requests are answered on two connections
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
+
+  # Guards against the fault of review case 3 on the way to the server: an answer that says
+  # that its connection closes, and whose body arrives after its head.
+  Scenario Outline: An answer is whole however its bytes are divided
+    When a backend server sends an answer framed by <framing> byte by byte, and says <connection>
+    Then the client returns the body of "new"
+
+    Examples:
+      | framing  | connection        |
+      | a length | keep-alive        |
+      | a length | close             |
+      | chunks   | keep-alive        |
+      | chunks   | close             |
+      | a close  | close             |
+
   # Guards against a node that holds, or reads for as long as its server likes, what is
   # not passed on to a caller.
   Scenario Outline: An answer without end that is not passed on is given up
--- a/features/steps/daemon_server_connection_steps.py
+++ b/features/steps/daemon_server_connection_steps.py
@@ -227,6 +227,40 @@
 }
 
 
+@when(
+    "a backend server sends an answer framed by {framing} and malformed bytes in one "
+    "write"
+)
+def step_malformed_behind(context: Any, framing: str) -> None:
+    def respond(writer: Any, _path: str) -> None:
+        writer.write(WHOLE_ANSWERS[framing] + b"not an answer\r\n\r\n")
+
+    _send_requests(context, respond, [Body(), Body()], 0.05)
+
+
+@when(
+    "a backend server sends an answer framed by {framing} byte by byte, and says "
+    "{connection}"
+)
+def step_byte_by_byte(context: Any, framing: str, connection: str) -> None:
+    whole = WHOLE_ANSWERS[framing]
+    if framing != "a close":
+        whole = whole.replace(b"OK", f"OK\r\nConnection: {connection}".encode(), 1)
+
+    async def send_bytes(writer: Any) -> None:
+        for index in range(len(whole)):
+            writer.write(whole[index : index + 1])
+            # Each byte gets a turn of the event loop, and with it a read of its own.
+            await asyncio.sleep(0.001)
+        if connection == "close":
+            writer.close()
+
+    def respond(writer: Any, _path: str) -> None:
+        context.sender = asyncio.create_task(send_bytes(writer))
+
+    _send_requests(context, respond, [Body()], 0.0)
+
+
 @when("a backend server closes after each part of an answer framed by {framing}")
 def step_cut_everywhere(context: Any, framing: str) -> None:
     whole = WHOLE_ANSWERS[framing]
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_connection.py
@@ -16,6 +16,7 @@
 from ..calls import INLINE_BODY_LIMIT_BYTES
 from ..calls import UNKNOWN_LENGTH
 from ..http.message import has_control_character
+from ..http.pieces import split_behind_heads
 from .server_answer import BrokenExchangeError
 from .server_answer import ServerAnswer
 
@@ -192,13 +193,22 @@
                 # Data outside an exchange belongs to no request.
                 self.abort()
             return
+        for piece in split_behind_heads(data):
+            if not self._parse(piece):
+                return
+
+    def _parse(self, data: bytes) -> bool:
+        """Parse a piece of what was received; return whether more may follow."""
+        assert self._parser is not None
         try:
             messages, _, _ = self._parser.feed_data(data)
         except HttpProcessingError as error:
+            # An answer that has arrived in full is delivered all the same.
             self._fail(self.exchange_error(str(error.message)))
-            return
+            return False
         for message, payload in messages:
             self._on_message(message, payload)
+        return True
 
     def finish_answer(self) -> None:
         """Release the connection after the body of the answer has been read."""
--- a/packages/daemon/src/marjoramstep_daemon/callers/request_receiver.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/request_receiver.py
@@ -9,6 +9,7 @@
 from marjoramstep_core.errors import InvalidInputError
 
 from ..calls import INLINE_BODY_LIMIT_BYTES
+from ..http.pieces import split_behind_heads
 from .exchange import Exchange
 
 
@@ -24,9 +25,6 @@
 
 HEADER_SIZE_LIMIT_BYTES = 16_384
 LOGGED_ERROR_CHARACTERS = 200
-HEAD_END = b"\r\n\r\n"
-# Pieces into which one read is split; a body may contain the end of a head many times.
-PIECES_LIMIT = 64
 
 
 class MalformedRequestError(InvalidInputError):
@@ -81,7 +79,7 @@
         :raises MalformedRequestError: if bytes are no request; what came before them is
             returned first
         """
-        for piece in _split_behind_heads(data):
+        for piece in split_behind_heads(data):
             yield from self._feed_piece(piece)
 
     def _feed_piece(self, data: bytes) -> list[Exchange]:
@@ -134,19 +132,3 @@
             ) from error
         if self._last_payload is not None and self._is_in_body():
             self._last_payload.set_exception(ConnectionResetError(text))
-
-
-def _split_behind_heads(data: bytes) -> Iterator[bytes]:
-    """Split received bytes where a head may end.
-
-    The parser drops the requests that it has found in a piece if something in the same
-    piece is malformed.
-    """
-    start = 0
-    for _ in range(PIECES_LIMIT - 1):
-        end = data.find(HEAD_END, start) + len(HEAD_END)
-        if end < len(HEAD_END) or end == len(data):
-            break
-        yield data[start:end]
-        start = end
-    yield data[start:]
