Tell the step at which a request waits

Each request has a progress now: body being read, server being found, sent to the node beside the server, queued there, sent to the server, behind an earlier answer, answer being sent. A gauge counts the requests at each step, and a request that is overdue against the time of its row gets one line 'request overdue' with its step, how long it has been there, the peer and what has arrived of the body.

--- a/features/steps/daemon_body_arrival_steps.py
+++ b/features/steps/daemon_body_arrival_steps.py
@@ -1,4 +1,4 @@
-"""Steps for bodies of requests that arrive in all ways."""
+"""Steps for bodies of requests that arrive in all ways, on both event loops."""
 
 from __future__ import annotations
 
@@ -8,11 +8,13 @@
 from typing import Any
 from unittest import mock
 
+import uvloop
 from aiohttp.http_parser import HttpRequestParserC
 from aiohttp.http_parser import HttpRequestParserPy
 from behave import then
 from behave import when
 from daemon_harness import CLOCK
+from daemon_harness import LIMIT_SECONDS
 from daemon_harness import make_tables
 from daemon_harness import run
 from marjoramstep_core.states import Outcome
@@ -104,13 +106,15 @@
 def step_send(context: Any, way: str, parser: str) -> None:
     async def scenario() -> None:
         forms = list(request_forms())
-        context.results = await asyncio.gather(
+        context.results += await asyncio.gather(
             *[_exchange(ARRIVALS[way], form) for form in forms]
         )
 
     context.way = way
+    context.results = []
     with mock.patch.object(request_receiver, "HttpRequestParser", PARSERS[parser]):
         run(scenario())
+        uvloop.run(asyncio.wait_for(scenario(), LIMIT_SECONDS))
 
 
 @then("each of them is run with its whole body and is answered")
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/call_executor.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/call_executor.py
@@ -18,6 +18,7 @@
 from ..deadline import Deadline
 from ..deadline import end_at_deadline
 from ..fingerprints import fingerprint_of
+from ..request_progress import RequestStep
 from .client import BackendFault
 from .client import BackendServerError
 from .protocol import NativeBackendProtocol
@@ -149,6 +150,7 @@
                 call.retry_tokens,
                 retry_after_ms=self._throttle.retry_after_ms(),
             )
+        call.progress.enter(RequestStep.QUEUE)
         # Set to 0 as soon as other code releases the slot.
         slot_id, refused = await self._gate.acquire(call)
         if refused is not None:
@@ -245,6 +247,7 @@
             headers = self._protocol.request_headers(
                 call, announcement, context_id, self._budget_ms(call)
             )
+            call.progress.enter(RequestStep.CALL_SERVER, announcement.instance)
             reply = await client.send(call, headers)
             call.started = not isinstance(reply, Refused)
             self._circuit_breaker.record(reply)
--- a/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/dispatcher.py
@@ -17,6 +17,7 @@
 from ..calls import Failed
 from ..calls import Refused
 from ..deadline import end_at_deadline
+from ..request_progress import RequestStep
 from ..retry_after import NOT_READY_RETRY_AFTER
 from .call_result import AT_LIMIT_REASONS
 from .call_result import UNAVAILABLE_REASONS
@@ -115,6 +116,7 @@
         :return: the last reply, and whether any attempt without an answer may
             have run
         """
+        call.progress.limit_ms = call.deadline_ms
         await self._subscriber.ensure_subscribed(call.service, call.deadline_ms)
         if call.is_repeat:
             self._budget.record_repeat(call.service)
@@ -252,6 +254,7 @@
             if member.node_id == self._node_id:
                 reply = await self._local_target.execute(call)
             else:
+                call.progress.enter(RequestStep.CALL_NODE, member.node_id)
                 address = split_address(member.address)
                 reply = await self._links.execute(address, call)
         finally:
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -147,7 +147,7 @@
             or not self._tables.has_table
         ):
             return
-        row = self._find_row(request)
+        row = self.find_row(request)
         if row is not None and row.needs_claim:
             await self._not_run_verifier.verify(result, request.request_key)
 
@@ -158,7 +158,12 @@
         is_confirmed = self._tables.age_ms() < CONFIRMATION_MAX_AGE_MS
         return Reason.NO_ROUTE if has_hosts and is_confirmed else Reason.NO_TABLE
 
-    def _find_row(self, request: EntryRequest) -> Row | None:
+    def find_row(self, request: EntryRequest) -> Row | None:
+        """Find the row of a request in the table in force.
+
+        :param request: the request
+        :return: its row, or None
+        """
         if request.host:
             return self._tables.match_host(request.host, request.path)
         return self._tables.match(request.service, request.method, request.path)
@@ -169,7 +174,7 @@
         )
         if not self._tables.has_table:
             return make_refusal(Reason.NO_TABLE, key, "")
-        row = self._find_row(request)
+        row = self.find_row(request)
         if row is None:
             return make_refusal(self._reason_without_row(), key, "")
         if request.host:
@@ -355,6 +360,7 @@
             deadline_ms=now_ms + budget_ms,
             retry_tokens=0,
             size_class=self._size_classifier.classify(row),
+            progress=request.progress,
         )
 
 
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry_request.py
@@ -4,6 +4,7 @@
 
 import re
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.errors import InvalidInputError
@@ -11,6 +12,8 @@
 from marjoramstep_core.ids import ServiceName
 
 from .. import http_headers
+from ..request_progress import RequestProgress
+from ..request_progress import untracked_progress
 
 
 if TYPE_CHECKING:
@@ -41,6 +44,7 @@
     :param host: host of a request that is routed by host; its row names the service
     :param request_id: identifies a request without a key in logs
     :param peer_host: returns the caller's IP address, empty after a disconnect
+    :param progress: the step at which it waits
     """
 
     service: ServiceName
@@ -54,6 +58,7 @@
     host: str = ""
     request_id: str = ""
     peer_host: Callable[[], str] = str
+    progress: RequestProgress = field(default_factory=untracked_progress)
 
 
 def parse_request(
--- a/packages/daemon/src/marjoramstep_daemon/callers/exchange.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/exchange.py
@@ -7,6 +7,8 @@
 
 from aiohttp.http import HttpVersion11
 
+from ..request_progress import untracked_progress
+
 
 if TYPE_CHECKING:
     from aiohttp.http import RawRequestMessage
@@ -23,6 +25,7 @@
     """
 
     def __init__(self, message: RawRequestMessage, payload: StreamReader) -> None:
+        self.progress = untracked_progress()
         self.message = message
         self.payload = payload
         self.is_done = asyncio.Event()
@@ -31,6 +34,12 @@
         self.expects_interim_answer = _expects_interim_answer(message)
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def length(self) -> int | None:
+        """Length of the body as its head tells it, None if it is chunked."""
+        text = self.message.headers.get("Content-Length")
+        return None if text is None else int(text)
+
     @property
     def needs_interim_answer(self) -> bool:
         """Whether the caller waits for an interim answer before it sends the body."""
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -12,12 +12,15 @@
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.errors import MarjoramstepError
 
+from ..calls import UNKNOWN_LENGTH
 from ..calls import Body
 from ..http.body_reader import read_body
 from ..http.message import HttpAnswer
 from ..http.message import HttpRequest
 from ..http.message import decode_headers
 from ..http.message import plain_answer
+from ..request_progress import BodyArrival
+from ..request_progress import RequestStep
 from .answer_writer import AnswerWriter
 from .answer_writer import write_refusal
 from .connection_state import ConnectionLifecycle
@@ -31,6 +34,8 @@
     from collections.abc import Callable
 
     from ..log import EventLog
+    from ..request_progress import ProgressTracker
+    from ..request_progress import RequestIdentity
     from .connection_timeouts import ConnectionTimeouts
     from .exchange import Exchange
 
@@ -49,9 +54,11 @@
 
     :param loop: the running event loop
     :param handle: executes one request
+    :param identify: finds a request whose body has not arrived
     :param refuse: builds the answer to an invalid request
     :param timeouts: timeouts of the connection
     :param log: event log
+    :param tracker: tracks the requests until they end
     :param on_open: called with this connection when it opens
     :param on_close: called with this connection when it has closed
     :param on_pause: called with this connection when its reading is paused
@@ -61,18 +68,22 @@
         self,
         loop: asyncio.AbstractEventLoop,
         handle: Callable[[HttpRequest], Awaitable[HttpAnswer]],
+        identify: Callable[[HttpRequest], RequestIdentity | None],
         refuse: Callable[[InvalidInputError], HttpAnswer],
         timeouts: ConnectionTimeouts,
         log: EventLog,
+        tracker: ProgressTracker,
         on_open: Callable[[CallerConnection], None],
         on_close: Callable[[CallerConnection], None],
         on_pause: Callable[[CallerConnection], None],
     ) -> None:
         super().__init__(loop, None)
         self._handle = handle
+        self._identify = identify
         self._refuse_request = refuse
         self._timeouts = timeouts
         self._log = log
+        self._tracker = tracker
         self._on_open = on_open
         self._on_close = on_close
         self._on_pause = on_pause
@@ -135,6 +146,8 @@
                 )
             if exchange.task is not None:
                 exchange.task.cancel()
+            # A task that is cancelled before its first step never runs its own code.
+            self._tracker.end(exchange.progress)
         self._parser = None
         self._lifecycle.end()
         self._on_close(self)
@@ -202,6 +215,9 @@
     def _start(self, exchange: Exchange) -> None:
         previous = self._exchanges[-1] if self._exchanges else None
         self._exchanges.append(exchange)
+        exchange.progress = self._tracker.begin("", RequestStep.READ_BODY)
+        if not exchange.payload.is_eof():
+            exchange.progress.body = self._body_arrival(exchange)
         exchange.task = self._loop.create_task(self._run(exchange, previous))
 
     async def _run(self, exchange: Exchange, previous: Exchange | None) -> None:
@@ -211,7 +227,9 @@
             answer = await self._answer(exchange)
             exchange.has_answer = True
             if previous is not None:
+                exchange.progress.enter(RequestStep.WAIT_TURN)
                 await previous.is_done.wait()
+            exchange.progress.enter(RequestStep.SEND_ANSWER, "caller")
             if self.transport is not None:
                 await self._write(exchange, answer)
         except MarjoramstepError as error:
@@ -228,24 +246,13 @@
             self._finish(exchange)
 
     async def _answer(self, exchange: Exchange) -> HttpAnswer:
-        message = exchange.message
         try:
             self._ask_for_body()
             body = Body()
             if exchange.payload is not EMPTY_PAYLOAD:
-                length = message.headers.get("Content-Length")
-                body = await read_body(
-                    exchange.payload, None if length is None else int(length)
-                )
-            request = HttpRequest(
-                message.method,
-                message.path,
-                message.headers,
-                decode_headers(message.raw_headers),
-                body,
-                self._peer_host,
-            )
-            return await self._handle(request)
+                body = await read_body(exchange.payload, exchange.length)
+                exchange.progress.body = None
+            return await self._handle(self._request(exchange, body))
         except InvalidInputError as error:
             self._log.write("malformed request", step=error.step, error=error.message)
             answer = self._refuse_request(error)
@@ -256,6 +263,26 @@
             self._log.write("internal error", step="answer", error=repr(error))
             return plain_answer(500, "internal error", closes=True)
 
+    def _request(self, exchange: Exchange, body: Body) -> HttpRequest:
+        message = exchange.message
+        return HttpRequest(
+            message.method,
+            message.path,
+            message.headers,
+            decode_headers(message.raw_headers),
+            body,
+            self._peer_host,
+            exchange.progress,
+        )
+
+    def _body_arrival(self, exchange: Exchange) -> BodyArrival:
+        length = exchange.length
+        return BodyArrival(
+            lambda: self._identify(self._request(exchange, Body())),
+            lambda: exchange.payload.total_bytes,
+            UNKNOWN_LENGTH if length is None else length,
+        )
+
     def _ask_for_body(self) -> None:
         """Send an interim answer if the caller of the first request waits for it.
 
@@ -300,6 +327,7 @@
 
     def _finish(self, exchange: Exchange) -> None:
         exchange.is_done.set()
+        self._tracker.end(exchange.progress)
         if exchange in self._exchanges:
             self._exchanges.remove(exchange)
         self._idle_since_seconds = self._loop.time()
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -6,11 +6,15 @@
 from itertools import count
 from typing import TYPE_CHECKING
 
+from marjoramstep_core.clock import SystemClock
 from marjoramstep_core.errors import InvalidInputError
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
 
 from ..calls import Failed
+from ..request_progress import ProgressTracker
+from ..request_progress import RequestIdentity
+from ..request_progress import RequestStep
 from .connection_timeouts import ConnectionTimeouts
 from .entry_result import EntryResult
 from .http_connection import CallerConnection
@@ -47,6 +51,7 @@
     :param tables: the table in force
     :param log: event log
     :param protocol: parses requests and renders results
+    :param tracker: tracks the requests until they end
     """
 
     def __init__(
@@ -55,12 +60,14 @@
         tables: TableStore,
         log: EventLog,
         protocol: CallerProtocol | None = None,
+        tracker: ProgressTracker | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._entry = entry
         self._tables = tables
         self._log = log
         self._protocol = protocol or NativeCallerProtocol()
+        self._tracker = tracker or ProgressTracker(SystemClock())
         self._timeouts = ConnectionTimeouts(
             DEFAULT_HEADER_TIMEOUT_SECONDS, DEFAULT_IDLE_TIMEOUT_SECONDS
         )
@@ -143,9 +150,11 @@
         return CallerConnection(
             self._loop,
             self._handle,
+            self._identify,
             self._protocol.refuse,
             self._timeouts,
             self._log,
+            self._tracker,
             self._on_open,
             self._on_close,
             self._paused.add,
@@ -172,6 +181,22 @@
         self._timeouts.header_timeout_seconds = default.header_timeout_ms / SECOND_MS
         self._timeouts.idle_timeout_seconds = default.idle_timeout_ms / SECOND_MS
 
+    def _identify(self, request: HttpRequest) -> RequestIdentity | None:
+        """Find a request whose body has not arrived.
+
+        :param request: the request, without its body
+        :return: its id and the time of its row, None if there is none
+        """
+        try:
+            entry_request = self._protocol.parse(request)
+        except InvalidInputError:
+            # Refused with a log line once its body has arrived.
+            return None
+        row = self._entry.find_row(entry_request)
+        if row is None:
+            return None
+        return RequestIdentity(_id_of(entry_request), row.deadline_ms)
+
     async def _handle(self, request: HttpRequest) -> HttpAnswer:
         try:
             entry_request = self._protocol.parse(request)
@@ -181,6 +206,9 @@
             )
             return self._protocol.refuse(error)
         number = next(self._request_numbers)
+        entry_request.progress = request.progress
+        entry_request.progress.request_id = _id_of(entry_request)
+        entry_request.progress.enter(RequestStep.FIND_SERVER)
         self._in_progress[number] = (
             entry_request.request_key or f"{request.method} {request.target}"
         )
@@ -200,6 +228,11 @@
         return self._protocol.render(result, self._tables.age_ms())
 
 
+def _id_of(request: EntryRequest) -> str:
+    key = request.request_key or request.request_id
+    return key or f"{request.method} {request.path}"
+
+
 def _interrupted(request: EntryRequest) -> EntryResult:
     failed = Failed(Reason.SHUTTING_DOWN, "still running at the end of the shutdown")
     key = request.request_key or request.request_id
--- a/packages/daemon/src/marjoramstep_daemon/calls.py
+++ b/packages/daemon/src/marjoramstep_daemon/calls.py
@@ -10,6 +10,9 @@
 from marjoramstep_core.states import Outcome
 from marjoramstep_core.states import Reason
 
+from .request_progress import RequestProgress
+from .request_progress import untracked_progress
+
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -146,6 +149,7 @@
         made the sub-calls that its run makes
     :param withdrawn: set when the outcome was reported to the caller; a call that has
         not started by then must not be started
+    :param progress: the step at which it waits
     """
 
     service: ServiceName
@@ -165,6 +169,7 @@
     started: bool = False
     reached_services: set[str] = field(default_factory=set)
     withdrawn: bool = False
+    progress: RequestProgress = field(default_factory=untracked_progress)
     made_sub_calls: bool = False
     shed_downstream: bool = False
     siblings_succeeded: bool = False
--- a/packages/daemon/src/marjoramstep_daemon/factory.py
+++ b/packages/daemon/src/marjoramstep_daemon/factory.py
@@ -46,6 +46,7 @@
 from .metrics import NodeMetrics
 from .node import Node
 from .nodes.link_pool import LinkPool
+from .request_progress import ProgressTracker
 
 
 if TYPE_CHECKING:
@@ -139,6 +140,7 @@
             self._build_circuit_breaker(local_server),
             protocol,
         )
+        tracker = ProgressTracker(self._clock)
         not_run_verifier = NotRunVerifier(self._clock, control.claims, self._metrics)
         entry = self._build_entry(
             subscriber, router, links, call_executor, not_run_verifier
@@ -163,12 +165,14 @@
                 self._adapter.caller_protocol(
                     self._settings, local_server, self._in_flight
                 ),
+                tracker,
             ),
             adapter=self._adapter,
             links=links,
             control=control,
             metrics=self._metrics,
             quarantine=quarantine,
+            tracker=tracker,
         )
 
     def _log_skipped_answer(self, request_key: RequestKey, status: int) -> None:
--- a/packages/daemon/src/marjoramstep_daemon/http/message.py
+++ b/packages/daemon/src/marjoramstep_daemon/http/message.py
@@ -4,11 +4,14 @@
 
 import re
 from dataclasses import dataclass
+from dataclasses import field
 from typing import TYPE_CHECKING
 
 from multidict import CIMultiDict
 
 from ..calls import Body
+from ..request_progress import RequestProgress
+from ..request_progress import untracked_progress
 
 
 if TYPE_CHECKING:
@@ -30,6 +33,7 @@
     :param raw_headers: all headers in the order received
     :param peer_host: returns the IP address of the client, empty once it has
         disconnected
+    :param progress: the step at which it waits
     """
 
     method: str
@@ -38,6 +42,7 @@
     raw_headers: HeaderList
     body: Body
     peer_host: Callable[[], str] = str
+    progress: RequestProgress = field(default_factory=untracked_progress)
 
 
 @dataclass(slots=True)
--- a/packages/daemon/src/marjoramstep_daemon/node.py
+++ b/packages/daemon/src/marjoramstep_daemon/node.py
@@ -36,10 +36,11 @@
     from .metrics import NodeMetrics
     from .nodes.link_pool import LinkPool
     from .peer_listener import PeerListener
+    from .request_progress import ProgressTracker
     from .settings import NodeSettings
     from .settings import Settings
 
-ANNOUNCEMENT_CHECK_SECONDS = 0.5
+CHECK_INTERVAL_SECONDS = 0.5
 DRAIN_POLL_SECONDS = 0.05
 SECOND_MS = 1_000.0
 # Time to send the last answers before the sockets are closed.
@@ -68,6 +69,7 @@
     metrics: NodeMetrics
     quarantine: QuarantineClient
     adapter: Adapter
+    tracker: ProgressTracker
 
     def __post_init__(self) -> None:
         self._tasks: list[asyncio.Task[None]] = []
@@ -112,7 +114,7 @@
             )
         self._tasks = [
             asyncio.create_task(self.control.run()),
-            asyncio.create_task(self._check_announcements()),
+            asyncio.create_task(self._check_periodically()),
             asyncio.create_task(self.links.run()),
             asyncio.create_task(self._loop_delay_monitor.run()),
         ]
@@ -218,6 +220,7 @@
             self.clock,
             self.log,
             self._sessions.discard,
+            self.tracker,
         )
         self._sessions.add(session)
         return session
@@ -228,10 +231,11 @@
             self.gate.set_slots(announcement.slots)
         self.control.register()
 
-    async def _check_announcements(self) -> None:
+    async def _check_periodically(self) -> None:
         while True:
             self.local_server.check_announcement_age()
-            await asyncio.sleep(ANNOUNCEMENT_CHECK_SECONDS)
+            self.tracker.log_overdue(self.log)
+            await asyncio.sleep(CHECK_INTERVAL_SECONDS)
 
     def _gauges(self) -> dict[str, float]:
         load = self.gate.load()
@@ -245,5 +249,6 @@
             "late_replies": self.links.late_replies,
             "quarantined": self.quarantine.count(),
             "server_ready": float(self.local_server.state is ServerState.READY),
+            **self.tracker.gauges(),
             **self._loop_delay_monitor.gauges(),
         }
--- a/packages/daemon/src/marjoramstep_daemon/nodes/session.py
+++ b/packages/daemon/src/marjoramstep_daemon/nodes/session.py
@@ -26,6 +26,9 @@
 from ..calls import Call
 from ..calls import Failed
 from ..calls import Refused
+from ..request_progress import ProgressTracker
+from ..request_progress import RequestProgress
+from ..request_progress import RequestStep
 from .body_stream import CreditWindow
 from .body_stream import IncomingBody
 from .body_stream import send_rest
@@ -55,7 +58,8 @@
 class _ServerStream:
     """State of one call that the peer started."""
 
-    def __init__(self) -> None:
+    def __init__(self, progress: RequestProgress) -> None:
+        self.progress = progress
         self.task: asyncio.Task[None] | None = None
         self.call: Call | None = None
         self.incoming: IncomingBody | None = None
@@ -73,6 +77,7 @@
     :param clock: clock of the node
     :param log: event log
     :param on_end: called with this session when the connection has closed
+    :param tracker: tracks the calls until they end
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         clock: Clock,
         log: EventLog,
         on_end: Callable[[NodeSession], None],
+        tracker: ProgressTracker | None = None,
     ) -> None:
         self._loop = asyncio.get_running_loop()
         self._connection = connection
@@ -91,6 +97,7 @@
         self._clock = clock
         self._log = log
         self._on_end = on_end
+        self._tracker = tracker or ProgressTracker(clock)
         self._streams: dict[int, _ServerStream] = {}
         self._last_stream_id = 0
 
@@ -164,12 +171,14 @@
             )
             self._send_reply(reply, message.stream_id)
             return
-        stream = self._streams[message.stream_id] = _ServerStream()
+        progress = self._tracker.begin(message.request_key, RequestStep.QUEUE)
+        stream = self._streams[message.stream_id] = _ServerStream(progress)
         body = Body(message.body, length=message.body_length)
         if not message.body_complete:
             stream.incoming = IncomingBody(self._connection, message.stream_id)
             body.rest = stream.incoming
         deadline_ms = self._clock.now_ms() + message.budget_ms
+        progress.limit_ms = deadline_ms
         stream.task = self._loop.create_task(
             self._run(message, stream, body, deadline_ms)
         )
@@ -198,6 +207,7 @@
         # Done in a callback, because a task that is cancelled before its first step
         # never runs its own code.
         self._streams.pop(stream_id, None)
+        self._tracker.end(stream.progress)
         if stream.cancelled_by_peer and not stream.replied:
             ran = stream.call is not None and stream.call.started
             self._send(CancelReply(stream_id=stream_id, ran=ran))
@@ -213,6 +223,7 @@
         try:
             reply = await self._execute(message, stream, body, deadline_ms)
             stream.replied = True
+            stream.progress.enter(RequestStep.SEND_ANSWER, self._connection.peer)
             self._send_reply(reply, stream_id)
             if isinstance(reply, Answer) and not reply.body.is_complete:
                 try:
@@ -266,6 +277,7 @@
             may_move_on=bool(message.may_move_on),
             is_repeat=bool(message.is_repeat),
             runs_again=bool(message.runs_again),
+            progress=stream.progress,
         )
         return await self._call_executor.execute(call)
 
