Refuse a request at once whose body is malformed

Callers saw: a malformed chunk that arrives in another read than its head was answered after 30 s. The error of the parser was taken for one of the connection; its 400 waited for the answers of earlier requests, among them the one whose body was malformed, and that one waited for its body. The error ends the body now, and its request is refused.

The step on malformed input waited for nothing and relied on a close that came a second later than the answer; it waits for the logged or counted refusal now, with the same limit as before, since lines are written 0.1 s after they are made.

--- a/features/daemon/caller_connection.feature
+++ b/features/daemon/caller_connection.feature
@@ -69,6 +69,19 @@
       | a last request with a body     | the connection ends      |
       | a last request with chunks     | the connection ends      |
 
+  # Guards against a request that waits for the body timeout although its body is known
+  # to be malformed.
+  Scenario Outline: A malformed chunk is refused at once, in whichever read it arrives
+    When a caller sends a malformed chunk <place> the head of a <kind> request
+    Then the caller gets status 400 and no request was run
+
+    Examples:
+      | place | kind |
+      | with  | kept |
+      | after | kept |
+      | with  | last |
+      | after | last |
+
   # Guards against a 408 and a close while a request runs or its connection is idle: the
   # end of a body was taken for the beginning of the next request's head.
   Scenario: The end of a body does not start the header timeout
--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -348,6 +348,24 @@
         assert rest.startswith(b"HTTP/1.1 400 "), context.received
 
 
+@when("a caller sends a malformed chunk {place} the head of a {kind} request")
+def step_malformed_chunk(context: Any, place: str, kind: str) -> None:
+    head = _post("/1", 4).replace(b"Content-Length: 4", b"Transfer-Encoding: chunked")
+    if kind == "kept":
+        head = head.replace(b"Connection: close\r\n", b"")
+
+    async def scenario(_: Any, reader: Any, writer: Any) -> None:
+        context.entry.reads_bodies = True
+        writer.write(head)
+        if place == "after":
+            await asyncio.sleep(0.02)
+        writer.write(b"zz\r\nbody\r\n")
+        async with asyncio.timeout(ANSWER_LIMIT_SECONDS):
+            context.head, _body = await _read_answer(reader)
+
+    _with_caller(context, scenario)
+
+
 @when(
     "a body ends in another read than its head and more than the header timeout passes"
 )
--- a/features/steps/daemon_malformed_input_steps.py
+++ b/features/steps/daemon_malformed_input_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import struct
+import time
 from typing import Any
 
 from behave import then
@@ -76,6 +77,14 @@
     )
 
 
+async def _wait_for_refusal(deployment: TestDeployment, earlier: float) -> None:
+    """Wait until a refusal is logged or counted; lines are written with a delay."""
+    until = time.monotonic() + LIMIT_SECONDS
+    while await _count_refusals(deployment) <= earlier:
+        assert time.monotonic() < until, "the refusal was neither logged nor counted"
+        await asyncio.sleep(PAUSE_SECONDS)
+
+
 @when("a raw caller sends {kind}")
 def step_caller(context: Any, kind: str) -> None:
     deployment: TestDeployment = context.deployment
@@ -93,9 +102,7 @@
     line = context.received.split(b"\r\n")[0]
     assert not line or line.split()[1] == str(status).encode(), line
     deployment: TestDeployment = context.deployment
-    assert deployment.run(_count_refusals(deployment)) > context.refusals, (
-        "the refusal was neither logged nor counted"
-    )
+    deployment.run(_wait_for_refusal(deployment, context.refusals))
 
 
 @then("other callers are served")
--- a/packages/daemon/src/marjoramstep_daemon/callers/request_receiver.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/request_receiver.py
@@ -125,10 +125,10 @@
             self._head_started_seconds = self._loop.time()
 
     def _on_malformed(self, error: HttpProcessingError) -> None:
-        text = str(error.message)
-        if self._lifecycle.takes_requests:
-            raise MalformedRequestError(
-                text[:LOGGED_ERROR_CHARACTERS], step="http", peer="caller"
-            ) from error
+        text = str(error.message)[:LOGGED_ERROR_CHARACTERS]
         if self._last_payload is not None and self._is_in_body():
+            # The request that the body belongs to is refused.
             self._last_payload.set_exception(ConnectionResetError(text))
+            self._lifecycle.end_requests()
+        elif self._lifecycle.takes_requests:
+            raise MalformedRequestError(text, step="http", peer="caller") from error
