Bound the wait for a body by a column of the table, and answer 408

A constant of 30 s bounded the wait for each part of a body, so that nothing bounded a caller that trickles, and an operator could not set it. body_timeout_ms of the row default bounds the time to the end of a short body or the first 64 KiB of a long one, and then the wait for each part; the deadline of the row bounds the rest.

--- a/packages/command/src/marjoramstep_command/trail.py
+++ b/packages/command/src/marjoramstep_command/trail.py
@@ -28,6 +28,7 @@
     "no-server": "no backend server of the service could be reached",
     "no-table": "the node had no table yet",
     "no-route": "no row of the table in force has its host and path",
+    "body-timeout": "its body did not arrive in time",
     "body-too-large": "its body is longer than its row allows",
     "quarantined": "requests like it have crashed backend servers",
     "connection-lost": "the connection broke after it was sent, so it may have run",
--- a/packages/core/src/marjoramstep_core/states.py
+++ b/packages/core/src/marjoramstep_core/states.py
@@ -38,6 +38,8 @@
     NO_ROUTE = "no-route"
     NO_CLAIM_QUORUM = "no-claim-quorum"
     BAD_REQUEST = "bad-request"
+    # The body did not arrive in time.
+    BODY_TIMEOUT = "body-timeout"
     # The request key is missing, malformed or issued in the future.
     BAD_KEY = "bad-key"
     # The request key is older than the lifetime of keys.
--- a/packages/core/src/marjoramstep_core/table/columns.py
+++ b/packages/core/src/marjoramstep_core/table/columns.py
@@ -250,6 +250,13 @@
     "Longest time for the head of a request; the value of the row default counts.",
     _integer(10, HOUR_MS),
 )
+_add_column(
+    "body_timeout_ms",
+    30_000,
+    "Longest time from the head of a request to the end of its body or of its first "
+    "64 KiB, and to each later part; the value of the row default counts.",
+    _integer(10, HOUR_MS),
+)
 _add_column(
     "idle_timeout_ms",
     75_000,
--- a/packages/core/src/marjoramstep_core/table/row.py
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -97,6 +97,7 @@
     body_limit_bytes: int
     stored_answer_limit_bytes: int
     header_timeout_ms: int
+    body_timeout_ms: int
     idle_timeout_ms: int
 
     @property
--- a/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/http_connection.py
@@ -14,6 +14,7 @@
 
 from ..calls import UNKNOWN_LENGTH
 from ..calls import Body
+from ..http.body_reader import BodyTimeoutError
 from ..http.body_reader import read_body
 from ..http.message import HttpAnswer
 from ..http.message import HttpRequest
@@ -250,19 +251,39 @@
             self._ask_for_body()
             body = Body()
             if exchange.payload is not EMPTY_PAYLOAD:
-                body = await read_body(exchange.payload, exchange.length)
+                body = await read_body(
+                    exchange.payload,
+                    exchange.length,
+                    self._timeouts.body_timeout_seconds,
+                )
                 exchange.progress.body = None
             return await self._handle(self._request(exchange, body))
+        except BodyTimeoutError as error:
+            self._log_late_body(exchange, error)
+            return self._refuse_last(error)
         except InvalidInputError as error:
             self._log.write("malformed request", step=error.step, error=error.message)
-            answer = self._refuse_request(error)
-            answer.closes = True
-            return answer
+            return self._refuse_last(error)
         except Exception as error:
             # Without an answer the caller would wait for its own timeout.
             self._log.write("internal error", step="answer", error=repr(error))
             return plain_answer(500, "internal error", closes=True)
 
+    def _refuse_last(self, error: InvalidInputError) -> HttpAnswer:
+        answer = self._refuse_request(error)
+        answer.closes = True
+        return answer
+
+    def _log_late_body(self, exchange: Exchange, error: BodyTimeoutError) -> None:
+        identity = self._identify(self._request(exchange, Body()))
+        self._log.write_decision(
+            "body not received",
+            "" if identity is None else identity.request_id,
+            step=error.step,
+            peer=self._peer_host(),
+            detail=error.message,
+        )
+
     def _request(self, exchange: Exchange, body: Body) -> HttpRequest:
         message = exchange.message
         return HttpRequest(
--- a/packages/daemon/src/marjoramstep_daemon/callers/listener.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/listener.py
@@ -34,6 +34,7 @@
     from .protocol import CallerProtocol
 
 DEFAULT_HEADER_TIMEOUT_SECONDS = 30.0
+DEFAULT_BODY_TIMEOUT_SECONDS = 30.0
 DEFAULT_IDLE_TIMEOUT_SECONDS = 75.0
 SECOND_MS = 1_000.0
 BACKLOG = 1_024
@@ -69,7 +70,9 @@
         self._protocol = protocol or NativeCallerProtocol()
         self._tracker = tracker or ProgressTracker(SystemClock())
         self._timeouts = ConnectionTimeouts(
-            DEFAULT_HEADER_TIMEOUT_SECONDS, DEFAULT_IDLE_TIMEOUT_SECONDS
+            DEFAULT_HEADER_TIMEOUT_SECONDS,
+            DEFAULT_BODY_TIMEOUT_SECONDS,
+            DEFAULT_IDLE_TIMEOUT_SECONDS,
         )
         self._listener: asyncio.Server | None = None
         self._connections: set[CallerConnection] = set()
@@ -179,6 +182,7 @@
     def _apply_table(self, table: Table) -> None:
         default = table.default_row
         self._timeouts.header_timeout_seconds = default.header_timeout_ms / SECOND_MS
+        self._timeouts.body_timeout_seconds = default.body_timeout_ms / SECOND_MS
         self._timeouts.idle_timeout_seconds = default.idle_timeout_ms / SECOND_MS
 
     def _identify(self, request: HttpRequest) -> RequestIdentity | None:
--- a/packages/daemon/src/marjoramstep_daemon/callers/protocol.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/protocol.py
@@ -10,6 +10,7 @@
 
 from ..calls import Answer
 from ..calls import Refused
+from ..http.body_reader import BodyTimeoutError
 from ..http.message import HttpAnswer
 from ..http.message import plain_answer
 from .entry_request import BadKeyError
@@ -67,10 +68,8 @@
         )
 
     def refuse(self, error: InvalidInputError) -> HttpAnswer:
-        """Answer 400 with the outcome ``not-run``."""
-        is_key = isinstance(error, BadKeyError)
-        reason = Reason.BAD_KEY if is_key else Reason.BAD_REQUEST
-        reply = Refused(reason, error.message)
+        """Answer 400, or 408 to a late body, with the outcome ``not-run``."""
+        reply = Refused(_reason_of(error), error.message)
         return self.render(EntryResult(reply, Outcome.NOT_RUN, "", ""), 0.0)
 
     def render(self, result: EntryResult, table_age_ms: float) -> HttpAnswer:
@@ -85,3 +84,11 @@
         answer = plain_answer(status_of(result), text)
         answer.headers.extend(headers)
         return answer
+
+
+def _reason_of(error: InvalidInputError) -> Reason:
+    if isinstance(error, BadKeyError):
+        return Reason.BAD_KEY
+    if isinstance(error, BodyTimeoutError):
+        return Reason.BODY_TIMEOUT
+    return Reason.BAD_REQUEST
--- a/packages/platform/src/marjoramstep_platform/caller_protocol.py
+++ b/packages/platform/src/marjoramstep_platform/caller_protocol.py
@@ -12,6 +12,7 @@
 from marjoramstep_daemon.callers.entry_request import EntryRequest
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Refused
+from marjoramstep_daemon.http.body_reader import BodyTimeoutError
 from marjoramstep_daemon.http.message import HttpAnswer
 from marjoramstep_daemon.http.message import plain_answer
 from marjoramstep_daemon.http_headers import select_forwarded_headers
@@ -45,6 +46,7 @@
 NOT_RUN_STATUS = 503
 UNKNOWN_OUTCOME_STATUS = 502
 TIMEOUT_STATUS = 504
+LATE_BODY_STATUS = 408
 
 
 class PlatformCallerProtocol:
@@ -109,9 +111,10 @@
         """Build the response to an invalid request.
 
         :param error: the validation error
-        :return: a response with status 400
+        :return: a response with status 400, or 408 to a body that came too late
         """
-        return plain_answer(400, error.message)
+        is_late = isinstance(error, BodyTimeoutError)
+        return plain_answer(LATE_BODY_STATUS if is_late else 400, error.message)
 
     def render(self, result: EntryResult, table_age_ms: float) -> HttpAnswer:
         """Forward an answer, or report that the request did not run or may have run.
