--- a/features/daemon/requests.feature
+++ b/features/daemon/requests.feature
@@ -103,3 +103,6 @@
       | an oversized frame        |
       | an unknown message type   |
       | a wrong proof             |
+
+  Scenario: A node names what it runs at its start
+    Then the log of the node names its build, event loop and parser once
--- a/features/steps/daemon_malformed_input_steps.py
+++ b/features/steps/daemon_malformed_input_steps.py
@@ -230,3 +230,11 @@
     assert (
         len(context.deployment.log_lines(ENTRY, "connection refused")) > context.logged
     )
+
+
+@then("the log of the node names its build, event loop and parser once")
+def step_build_line(context: Any) -> None:
+    (line,) = context.deployment.log_lines(ENTRY, "build")
+    assert line["build_id"] == "source", line
+    assert line["event_loop"] == "uvloop", line
+    assert line["http_parser"] == "native", line
--- a/packages/daemon/src/marjoramstep_daemon/daemon.py
+++ b/packages/daemon/src/marjoramstep_daemon/daemon.py
@@ -5,6 +5,7 @@
 import asyncio
 import gc
 import signal
+from dataclasses import asdict
 from typing import TYPE_CHECKING
 
 from marjoramstep_core.clock import SystemClock
@@ -70,6 +71,7 @@
         bound = {"peer": peer}
         try:
             await self._start_roles(listener, peer, bound)
+            self._log_build(loop)
             self._log.write(
                 "listening",
                 step="start",
@@ -110,6 +112,13 @@
             self._node = NodeFactory(self._settings, self._clock, self._log).build()
             bound.update(await self._node.start(listener, peer))
 
+    def _log_build(self, loop: asyncio.AbstractEventLoop) -> None:
+        # Imported late: the HTTP library takes long to import.
+        from .build_info import describe_build
+
+        build = describe_build(type(loop).__module__)
+        self._log.write("build", step="start", **asdict(build))
+
     def _make_hello(self, connection_class: ConnectionClass) -> Hello:
         # The accepting side identifies itself by the process id. A control replica uses
         # its replica id, which differs from the process id after the loss of its disk.
