Bound the wait for bodies at the interfaces for operators and servers

A writer that stops within a body held a request at the operators' and configuration API or at the interface for heartbeats for as long as it kept its connection. The setting api_body_timeout_ms (30 s) bounds it, with a 408.

--- a/features/steps/platform_heartbeats_steps.py
+++ b/features/steps/platform_heartbeats_steps.py
@@ -67,7 +67,7 @@
 
 async def _send(context: Any, method: str, instance: str, data: bytes) -> int:
     """Send one request to the heartbeat interface and return its status."""
-    server = HttpServer(context.heartbeats.make_app())
+    server = HttpServer(context.heartbeats.make_app(), 10_000)
     host, port = await server.start(("127.0.0.1", 0))
     url = f"http://{host}:{port}/-/instances/{instance}"
     try:
--- a/features/support/body_arrivals.py
+++ b/features/support/body_arrivals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -118,7 +119,7 @@
         head = await self.read_head()
         while head.startswith(b"HTTP/1.1 100 "):
             head = await self.read_head()
-        assert head.startswith(b"HTTP/1.1 200 "), head
+        assert re.match(rb"HTTP/1\.[01] 200 ", head), head
         head = head.lower()
         length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
         body = await self.reader.readexactly(length)
--- a/packages/daemon/src/marjoramstep_daemon/control/operator_servers.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/operator_servers.py
@@ -41,21 +41,25 @@
         log: EventLog,
     ) -> None:
         self._control = control
+        body_timeout_ms = settings.api_body_timeout_ms
         tokens = OperatorTokens(control.operators)
         self._operator_server = HttpServer(
-            OperatorApi(replica, registry, tokens).make_app()
+            OperatorApi(replica, registry, tokens).make_app(), body_timeout_ms
         )
         adapter_app = load_adapter(settings.adapter).make_configuration_app(
             replica, log
         )
-        self._adapter_server = None if adapter_app is None else HttpServer(adapter_app)
+        self._adapter_server = (
+            None if adapter_app is None else HttpServer(adapter_app, body_timeout_ms)
+        )
         self._metrics_server = HttpServer(
             make_metrics_app(
                 ControlMetrics(replica),
                 lambda: describe_status(replica),
                 # A follower is healthy from its first contact with a leader on.
                 lambda: replica.confirmed_age_ms() >= 0,
-            )
+            ),
+            body_timeout_ms,
         )
 
     async def start(self) -> dict[str, tuple[str, int]]:
--- a/packages/daemon/src/marjoramstep_daemon/http/server.py
+++ b/packages/daemon/src/marjoramstep_daemon/http/server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+from http import HTTPStatus
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -10,15 +12,29 @@
 if TYPE_CHECKING:
     import ssl
 
+    from aiohttp.typedefs import Handler
+    from aiohttp.typedefs import Middleware
+
+SECOND_MS = 1_000.0
+
 
 class HttpServer:
     """Serves an application on one address.
 
     :param app: the application
+    :param body_timeout_ms: longest time from the head of a request to the end of its
+        body
     :param tls: TLS context, or None for plain HTTP
     """
 
-    def __init__(self, app: web.Application, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        app: web.Application,
+        body_timeout_ms: int,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        # The last one is called after those that authenticate.
+        app.middlewares.append(_limit_body_time(body_timeout_ms / SECOND_MS))
         self._runner = web.AppRunner(app, access_log=None)
         self._tls = tls
 
@@ -39,3 +55,18 @@
     async def close(self) -> None:
         """Close the listening socket and all connections."""
         await self._runner.cleanup()
+
+
+def _limit_body_time(timeout_seconds: float) -> Middleware:
+    @web.middleware
+    async def read_body(request: web.Request, handler: Handler) -> web.StreamResponse:
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await request.read()
+        except TimeoutError:
+            response = web.Response(status=HTTPStatus.REQUEST_TIMEOUT)
+            response.force_close()
+            return response
+        return await handler(request)
+
+    return read_body
--- a/packages/daemon/src/marjoramstep_daemon/node.py
+++ b/packages/daemon/src/marjoramstep_daemon/node.py
@@ -76,13 +76,16 @@
         self._sessions: set[NodeSession] = set()
         self._is_shutting_down = False
         self._loop_delay_monitor = LoopDelayMonitor(self.log)
+        body_timeout_ms = self.settings.api_body_timeout_ms
         self._announce_server = HttpServer(
-            self.adapter.make_announce_app(self.local_server, self.log)
+            self.adapter.make_announce_app(self.local_server, self.log), body_timeout_ms
         )
         ready_app = self.adapter.make_ready_app(self.is_ready)
-        self._ready_server = None if ready_app is None else HttpServer(ready_app)
+        self._ready_server = (
+            None if ready_app is None else HttpServer(ready_app, body_timeout_ms)
+        )
         self._metrics_server = HttpServer(
-            make_metrics_app(self.metrics, self.status, self.is_ready)
+            make_metrics_app(self.metrics, self.status, self.is_ready), body_timeout_ms
         )
         self.local_server.on_change = self._on_server_change
         self.metrics.set_gauges(self._gauges)
--- a/packages/daemon/src/marjoramstep_daemon/settings.py
+++ b/packages/daemon/src/marjoramstep_daemon/settings.py
@@ -28,6 +28,7 @@
 # A majority must remain of the largest number of replicas.
 MAXIMUM_LOSSES = 12
 MINIMUM_KEY_BYTES = 16
+DEFAULT_API_BODY_TIMEOUT_MS = 30_000
 NATIVE_ADAPTER = "native"
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 
@@ -102,6 +103,8 @@
 class Settings:
     """All settings of a process; an address is an IP address and a port.
 
+    :param api_body_timeout_ms: longest time for the body of a request to an interface
+        for operators, metrics or announcements
     :param shutdown_limit_ms: time after SIGTERM at which requests that still run get a
         final answer and the process ends
     """
@@ -114,6 +117,7 @@
     control_addresses: tuple[Address, ...]
     log_file: str
     adapter: str
+    api_body_timeout_ms: int
     shutdown_limit_ms: int
     node: NodeSettings | None
     control: ControlSettings | None
@@ -166,6 +170,9 @@
         control_addresses=_read_control_addresses(reader),
         log_file=reader.string("log_file", "-"),
         adapter=reader.string("adapter", NATIVE_ADAPTER),
+        api_body_timeout_ms=reader.integer(
+            "api_body_timeout_ms", 10, 3_600_000, DEFAULT_API_BODY_TIMEOUT_MS
+        ),
         shutdown_limit_ms=_read_shutdown_limit_ms(reader),
         node=_read_node(reader.section("node", node)) if Role.NODE in roles else None,
         control=_read_control(reader.section("control", control))
