--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/server_answer.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/server_answer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 from aiohttp.http_exceptions import HttpProcessingError
 from marjoramstep_core.errors import ConnectionFailedError
@@ -19,7 +20,6 @@
     from aiohttp.streams import StreamReader
 
     from ..calls import HeaderList
-    from .server_connection import ServerConnection
 
 # What is read of a refusal's body so that its connection can be reused.
 REFUSAL_BODY_LIMIT_BYTES = 65_536
@@ -30,15 +30,35 @@
     """The exchange ended without a complete answer; the request may have run."""
 
 
+class AnswerConnection(Protocol):
+    """What an answer needs of the connection on which it arrives."""
+
+    def finish_answer(self) -> None:
+        """Release the connection: the answer has been read to its end."""
+
+    def abort(self) -> None:
+        """Reset the connection: the answer will not be read to its end."""
+
+    def exchange_error(self, text: str) -> BrokenExchangeError:
+        """Build the error of the exchange.
+
+        :param text: cause, empty if it is not known
+        :return: the error
+        """
+
+
 class ServerAnswer:
     """Status and headers of an answer, with its body as a stream.
 
+    :param connection: the connection on which it arrives
+    :param message: its head
+    :param payload: its body
     :param length: length of the body in bytes, or ``UNKNOWN_LENGTH``
     """
 
     def __init__(
         self,
-        connection: ServerConnection,
+        connection: AnswerConnection,
         message: RawResponseMessage,
         payload: StreamReader,
         length: int,
