Do not list a server again that has left, after a restart of its node

Cause: the node remembers departures in memory only, and the registry of the replicas held a departure and a server that cannot be reached for the same: both may come back under a higher sequence. A member says now whether it has left (optional field 11, ignored by earlier versions), and the registry does not list that incarnation again for 30 s, as the node does.

--- a/features/platform/heartbeats.feature
+++ b/features/platform/heartbeats.feature
@@ -37,6 +37,14 @@
     And server "i-1" born at 100 sends heartbeat 3 as "ready"
     Then the node knows a "gone" server "i-1"
 
+  Scenario: The replicas learn whether a server has left or cannot be reached
+    When server "i-1" born at 100 sends heartbeat 1 as "ready"
+    Then the replicas are told that it is "ready" and has not left
+    When it cannot be reached
+    Then the replicas are told that it is "gone" and has not left
+    When server "i-1" deregisters
+    Then the replicas are told that it is "gone" and has left
+
   Scenario: A late heartbeat of a server whose departure is all that the node knows of it
     When server "i-1" deregisters
     And server "i-1" born at 100 sends heartbeat 3 as "ready"
--- a/features/state/membership.feature
+++ b/features/state/membership.feature
@@ -53,6 +53,27 @@
     And the members of service "pay" are nobody
     And heartbeat 2.1 of server "s1" of service "pay" as "ready" pushes s1:ready to n1
 
+  # Guards against a server that has left and is in use again after a restart of the node
+  # beside it, which forgets the departure: a late heartbeat revives it.
+  Scenario: A server that has deregistered is not listed again by a node that restarts
+    When server "s1" of service "pay" announces "ready" as 5.1
+    And server "s1" of service "pay" deregisters as 5.2
+    Then heartbeat 5.3 of server "s1" of service "pay" as "ready" is ignored
+    And heartbeat 5.4 of server "s1" of service "pay" as "gone" is ignored
+    And heartbeat 5.5 of server "s1" of service "pay" as "ready" is ignored
+    When server "s1" of service "pay" announces "ready" as 6.1
+    Then the members of service "pay" are s1:ready
+
+  Scenario: A server that was only lost is listed again
+    When server "s1" of service "pay" announces "gone" as 5.2
+    And server "s1" of service "pay" announces "ready" as 5.3
+    Then the members of service "pay" are s1:ready
+
+  Scenario: A server that is announced long after its departure is listed again
+    When server "s1" of service "pay" deregisters as 5.2
+    And 30000 ms pass and server "s1" of service "pay" announces "ready" as 5.9
+    Then the members of service "pay" are s1:ready
+
   Scenario: A leave notice that arrives before the announcement blocks it
     When server "s1" of service "pay" announces "gone" as 1.2
     And server "s1" of service "pay" announces "ready" as 1.1
--- a/features/steps/platform_heartbeats_steps.py
+++ b/features/steps/platform_heartbeats_steps.py
@@ -123,6 +123,18 @@
     assert local_server.announcement.instance == name, local_server.announcement
 
 
+@when("it cannot be reached")
+def step_unreachable(context: Any) -> None:
+    context.local_server.mark_gone()
+
+
+@then('the replicas are told that it is "{state}" and has {left}')
+def step_member(context: Any, state: str, left: str) -> None:
+    member = context.local_server.to_member("zone")
+    assert member.state == state, member
+    assert bool(member.has_left) is (left == "left"), member
+
+
 @then("the node knows no server")
 def step_no_server(context: Any) -> None:
     assert context.local_server.announcement is None, context.local_server.announcement
--- a/features/steps/state_membership_steps.py
+++ b/features/steps/state_membership_steps.py
@@ -69,6 +69,14 @@
     _announce(context, server, service, state, order)
 
 
+@when('server "{server}" of service "{service}" deregisters as {order}')
+def step_deregister(context: Any, server: str, service: str, order: str) -> None:
+    incarnation, sequence = map(int, order.split("."))
+    message = _message(server, service, "gone", (incarnation, sequence), LEASE_MS)
+    message.member.has_left = True
+    context.registry.register(message)
+
+
 @when(
     '{ms:d} ms pass and server "{server}" of service "{service}" announces "{state}" '
     "as {order}"
--- a/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
+++ b/packages/daemon/src/marjoramstep_daemon/backend_servers/local_server.py
@@ -199,6 +199,7 @@
             state=self.state.value,
             incarnation=announcement.incarnation,
             sequence=self._sequence,
+            has_left=self.has_left(announcement) or None,
         )
 
     async def close(self) -> None:
--- a/packages/state/src/marjoramstep_state/membership/registry.py
+++ b/packages/state/src/marjoramstep_state/membership/registry.py
@@ -27,6 +27,9 @@
 # Longer than the maximum delay of a message, so that a late announcement does not
 # re-add a member that is gone.
 TOMBSTONE_RETENTION_MS = 120_000.0
+# How long an incarnation that has deregistered is not listed again. An incarnation that
+# is announced after that runs: its deregistration meant an earlier start.
+DEPARTURE_RETENTION_MS = 30_000.0
 COMPARED_FIELDS = (
     "node_id",
     "service_name",
@@ -64,6 +67,7 @@
     order: tuple[int, int]
     until_ms: float
     due_ms: float
+    left_until_ms: float = -math.inf
 
 
 class MembershipRegistry:
@@ -94,15 +98,19 @@
         known = self._entries.get(server_id)
         if known is not None and order <= known.order:
             return []
+        if known is not None and self._has_left(known, message):
+            return []
         listed = known.member if known and _is_listed(known.member) else None
         pushes = []
         is_gone = state is ServerState.GONE
         if listed and (is_gone or listed.service_name != member.service_name):
             pushes = self._remove(listed, order)
             listed = None
-        self._store(
+        entry = self._store(
             member, order, TOMBSTONE_RETENTION_MS if is_gone else message.lease_ms
         )
+        if member.has_left:
+            entry.left_until_ms = self._clock.now_ms() + DEPARTURE_RETENTION_MS
         if is_gone:
             return pushes
         service = ServiceName(member.service_name)
@@ -186,7 +194,17 @@
         """Return the names of all services that have a member, in order."""
         return sorted(self._members_by_service)
 
-    def _store(self, member: Member, order: tuple[int, int], keep_ms: float) -> None:
+    def _has_left(self, known: _Entry, message: RegisterServer) -> bool:
+        """Return whether an announcement is of an incarnation that has deregistered.
+
+        The node beside the server forgets departures when it restarts.
+        """
+        member = message.member
+        if member.has_left or member.incarnation > known.member.incarnation:
+            return False
+        return self._clock.now_ms() < known.left_until_ms
+
+    def _store(self, member: Member, order: tuple[int, int], keep_ms: float) -> _Entry:
         server_id = ServerId(member.server_id)
         until_ms = self._clock.now_ms() + keep_ms
         known = self._entries.get(server_id)
@@ -196,6 +214,7 @@
         # the heap.
         if until_ms < entry.due_ms:
             self._schedule(entry)
+        return entry
 
     def _schedule(self, entry: _Entry) -> None:
         entry.due_ms = entry.until_ms
--- a/packages/wire/src/marjoramstep_wire/messages.thrift
+++ b/packages/wire/src/marjoramstep_wire/messages.thrift
@@ -154,6 +154,9 @@
   8: required string state
   9: required i64 incarnation
   10: required i64 sequence
+  // Whether the server has deregistered, so that its incarnation does not come back;
+  // absent means no.
+  11: optional bool has_left
 }
 
 struct RegisterServer {
