Store configurations of 10,000 routes

Callers saw: a configuration of 2,800 routes (718 kB) was neither acknowledged nor refused, each try got 500. Its command held every cell of every row and the source, 2,110,905 bytes, and a log entry has at most 1,835,008; the error was not handled.

A command holds only cells that differ from their defaults, and is packed with its source; entries of earlier releases are read. A table that does not fit into a message to a node is packed as well. The interface takes 4 MiB; beyond that, or if the content does not compress enough for a log entry, it answers 413 and logs why. An audit entry of more than 2,500 changed rows names the rows and has the digest of the content as its key, since their cells would take tens of megabytes. A table holds 16,384 rows. Comparing tables skips equal rows, and rows are encoded without a deep copy.

--- a/features/platform/configuration.feature
+++ b/features/platform/configuration.feature
@@ -47,3 +47,26 @@
     When it is decoded
     Then its command fits into a log entry
 
+  # The target size has 340 services.
+  Scenario: 10,000 routes are stored, restored and sent to nodes
+    Given a configuration with 10000 routes
+    When it is decoded
+    Then its command fits into a log entry
+    When a replica applies its command and another one restores its snapshot
+    Then both have the same 10003 rows, source and audit trail
+    And a node without a table, and one with an earlier table, get it in one message each
+
+  Scenario Outline: A configuration that is too large gets a clear answer
+    When a configuration of <size> is put
+    Then it is answered 413 and the log says why
+
+    Examples:
+      | size                                  |
+      | more bytes than the interface takes   |
+      | more than a log entry holds           |
+
+  Scenario: Entries of earlier releases are read
+    Given a configuration with 10 routes
+    When it is decoded
+    Then its command is also read from an entry of an earlier release
+
--- a/features/steps/platform_configuration_steps.py
+++ b/features/steps/platform_configuration_steps.py
@@ -2,22 +2,37 @@
 
 from __future__ import annotations
 
+import asyncio
 import copy
 import json
 import random
+from dataclasses import replace
+from types import SimpleNamespace
 from typing import Any
 
+import aiohttp
 from behave import given
 from behave import then
 from behave import when
+from marjoramstep_core.clock import ManualClock
 from marjoramstep_core.errors import InvalidInputError
+from marjoramstep_core.ids import LogIndex
 from marjoramstep_core.table import Row
 from marjoramstep_daemon.control.proposal_queue import PAYLOAD_LIMIT_BYTES
+from marjoramstep_daemon.control.table_encoder import TableEncoder
+from marjoramstep_daemon.control.table_store import TableStore
+from marjoramstep_daemon.http.server import HttpServer
+from marjoramstep_daemon.log import EventLog
 from marjoramstep_platform.configuration import Configuration
 from marjoramstep_platform.configuration_api import BODY_LIMIT_BYTES
 from marjoramstep_platform.configuration_api import OPERATOR
+from marjoramstep_platform.configuration_api import ConfigurationApi
+from marjoramstep_state import StateMachine
+from marjoramstep_state.commands import decode_command
 from marjoramstep_state.commands import encode_command
 from marjoramstep_state.edit_commands import ReplaceTable
+from marjoramstep_state.results import EditVerdict
+from marjoramstep_wire.messages import TableReply
 
 
 SEED = 11
@@ -234,7 +249,12 @@
 def step_fits(context: Any) -> None:
     configuration = context.decoded
     assert len(configuration.source.encode()) < BODY_LIMIT_BYTES
-    command = ReplaceTable(
+    size = len(encode_command(_command(configuration)))
+    assert size <= PAYLOAD_LIMIT_BYTES, size
+
+
+def _command(configuration: Configuration) -> ReplaceTable:
+    return ReplaceTable(
         0,
         configuration.digest,
         configuration.version,
@@ -244,5 +264,92 @@
         configuration.rows,
         configuration.source,
     )
-    size = len(encode_command(command))
-    assert size <= PAYLOAD_LIMIT_BYTES, size
+
+
+@when("a replica applies its command and another one restores its snapshot")
+def step_apply(context: Any) -> None:
+    first = Configuration.decode(json.dumps(_document()).encode())
+    command = replace(_command(first), base_revision=0, revision=5)
+    context.machine, context.restored = StateMachine(), StateMachine()
+    result = context.machine.apply(LogIndex(1), encode_command(command)).result
+    assert result.verdict is EditVerdict.ACCEPTED, result
+    context.earlier = context.machine.table
+    command = _command(context.decoded)
+    result = context.machine.apply(LogIndex(2), encode_command(command)).result
+    assert result.verdict is EditVerdict.ACCEPTED, result
+    context.restored.restore(context.machine.snapshot())
+
+
+@then("both have the same {rows:d} rows, source and audit trail")
+def step_same(context: Any, rows: int) -> None:
+    machine, restored = context.machine, context.restored
+    assert len(machine.table.rows) == rows, len(machine.table.rows)
+    assert restored.table == machine.table
+    assert restored.source == machine.source == context.decoded.source
+    assert restored.audit_entries() == machine.audit_entries()
+    assert restored.verify_audit() is None
+    assert len(machine.audit_entries()[1].after["rows"]) == rows - len(
+        context.earlier.rows
+    )
+
+
+@then(
+    "a node without a table, and one with an earlier table, get it in one message each"
+)
+def step_nodes(context: Any) -> None:
+    encoder = TableEncoder(context.machine)
+    log = EventLog(ManualClock(), "test")
+    for earlier in (None, context.earlier):
+        tables = TableStore(ManualClock(), log)
+        if earlier is not None:
+            tables.put_in_force(earlier)
+        data = encoder.encode(tables.version)
+        assert len(data) <= PAYLOAD_LIMIT_BYTES, len(data)
+        version = context.machine.table.version
+        tables.receive(TableReply(version, data, 0.0))
+        assert tables.table == context.machine.table
+
+
+class FullReplica:
+    """Replica whose log refuses each command as too long."""
+
+    async def submit(self, _make_command: Any) -> Any:
+        """Refuse the command."""
+        raise InvalidInputError("expected at most 1 byte, found 2", step="propose")
+
+
+@when("a configuration of {size} is put")
+def step_put(context: Any, size: str) -> None:
+    data = json.dumps(_document()).encode()
+    if size == "more bytes than the interface takes":
+        data += b" " * BODY_LIMIT_BYTES
+    context.log = []
+    log = SimpleNamespace(write=lambda event, **_: context.log.append(event))
+    app = ConfigurationApi(FullReplica(), log).make_app()  # type: ignore[arg-type]
+
+    async def put() -> int:
+        server = HttpServer(app, 10_000)
+        host, port = await server.start(("127.0.0.1", 0))
+        try:
+            async with (
+                aiohttp.ClientSession() as session,
+                session.put(f"http://{host}:{port}/-/config", data=data) as response,
+            ):
+                return response.status
+        finally:
+            await server.close()
+
+    context.status = asyncio.run(put())
+
+
+@then("it is answered {status:d} and the log says why")
+def step_too_large(context: Any, status: int) -> None:
+    assert context.status == status, context.status
+    assert context.log == ["configuration refused"], context.log
+
+
+@then("its command is also read from an entry of an earlier release")
+def step_earlier_release(context: Any) -> None:
+    command = _command(context.decoded)
+    fields = {**vars(command), "rows": list(command.rows), "kind": command.kind}
+    assert decode_command(json.dumps(fields).encode()) == command
--- a/packages/core/src/marjoramstep_core/table/diff.py
+++ b/packages/core/src/marjoramstep_core/table/diff.py
@@ -37,6 +37,8 @@
     """
     changes: list[CellChange] = []
     for name in sorted(before.rows.keys() | after.rows.keys()):
+        if before.rows.get(name) == after.rows.get(name):
+            continue
         old = before.rows[name].to_cells() if name in before.rows else {}
         new = after.rows[name].to_cells() if name in after.rows else {}
         changes.extend(
--- a/packages/core/src/marjoramstep_core/table/row.py
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict
 from dataclasses import dataclass
 from enum import Enum
 from enum import unique
@@ -20,6 +19,10 @@
 if TYPE_CHECKING:
     from ..ids import RowName
 
+DEFAULT_CELLS: dict[str, CellValue] = {
+    column_name: COLUMNS.get(column_name).default for column_name in COLUMNS
+}
+
 
 @unique
 class SizeClassRule(Enum):
@@ -129,12 +132,13 @@
             for key in cells
             if key not in COLUMNS
         ]
-        values: dict[str, CellValue] = {}
-        for column_name in COLUMNS:
-            column = COLUMNS.get(column_name)
-            raw = cells.get(column_name, column.default)
+        values: dict[str, CellValue] = dict(DEFAULT_CELLS)
+        for column_name in DEFAULT_CELLS:
+            if column_name not in cells and column_name != "name":
+                continue
+            raw = cells.get(column_name, "")
             try:
-                values[column_name] = column.parse(raw)
+                values[column_name] = COLUMNS.get(column_name).parse(raw)
             except CellError as error:
                 faults.append(CellFault(row_name, column_name, str(raw), str(error)))
         if faults:
@@ -151,6 +155,20 @@
 
         :return: value by column name, in column order
         """
-        cells = asdict(self)
+        cells: dict[str, CellValue] = {
+            column_name: getattr(self, column_name) for column_name in DEFAULT_CELLS
+        }
         cells["size_class"] = self.size_class.value
         return cells
+
+    def to_stated_cells(self) -> dict[str, CellValue]:
+        """Return the cells that differ from the defaults of their columns.
+
+        :return: value by column name, the name always; :meth:`from_cells` gives the
+            same row
+        """
+        return {
+            column_name: value
+            for column_name, value in self.to_cells().items()
+            if column_name == "name" or value != DEFAULT_CELLS[column_name]
+        }
--- a/packages/core/src/marjoramstep_core/table/table.py
+++ b/packages/core/src/marjoramstep_core/table/table.py
@@ -13,7 +13,7 @@
 
 
 DEFAULT_ROW_NAME = RowName("default")
-ROW_LIMIT = 10_000
+ROW_LIMIT = 16_384
 
 
 def _default_rows() -> dict[RowName, Row]:
@@ -46,6 +46,14 @@
             "rows": [self.rows[name].to_cells() for name in sorted(self.rows)],
         }
 
+    def to_stated_json(self) -> dict[str, Any]:
+        """Return the table as JSON values, without cells that have their defaults.
+
+        :return: as :meth:`to_json`
+        """
+        rows = [self.rows[name].to_stated_cells() for name in sorted(self.rows)]
+        return {"version": self.version, "rows": rows}
+
     @classmethod
     def from_json(cls, document: dict[str, Any]) -> Table:
         """Build a table from JSON values.
--- a/packages/daemon/src/marjoramstep_daemon/control/table_store.py
+++ b/packages/daemon/src/marjoramstep_daemon/control/table_store.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import json
 from typing import TYPE_CHECKING
 from typing import Any
 
+import orjson
+from marjoramstep_core.packing import unpack
 from marjoramstep_core.table import RowMatcher
 from marjoramstep_core.table import Table
 from marjoramstep_core.table.delta import TableDelta
@@ -147,7 +148,7 @@
         :raises InvalidInputError: if the table is not valid
         """
         if reply.table_json:
-            self._apply_document(json.loads(reply.table_json))
+            self._apply_document(_decode(reply.table_json))
         if reply.confirmed_ms >= 0 and reply.version == self.version:
             # The field of the reply is an age, not a time.
             confirmed_at_ms = self._clock.now_ms() - reply.confirmed_ms
@@ -200,3 +201,8 @@
                     await self._changed.wait()
             except TimeoutError:
                 return
+
+
+def _decode(data: bytes) -> Any:
+    """Decode a table or a delta, which is packed if it is long."""
+    return orjson.loads(data) if data.startswith(b"{") else unpack(data)
--- a/packages/platform/src/marjoramstep_platform/configuration.py
+++ b/packages/platform/src/marjoramstep_platform/configuration.py
@@ -171,7 +171,10 @@
         "queue_wait_ms": int(timeout_ms),
         "body_limit_bytes": body_limit,
     }
-    return Row.from_cells(cells).to_cells()  # type: ignore[return-value]
+    row = Row.from_cells(cells)
+    # Compared with those of other routes, also where they are the defaults.
+    address = {"host": row.host, "path_prefix": row.path_prefix}
+    return {**row.to_stated_cells(), **address}
 
 
 def _targets(resource: _Resource, services: set[str]) -> str:
--- a/packages/platform/src/marjoramstep_platform/configuration_api.py
+++ b/packages/platform/src/marjoramstep_platform/configuration_api.py
@@ -10,6 +10,7 @@
 from marjoramstep_core.ids import OperatorName
 from marjoramstep_daemon.control.replicated_state import NotLeaderError
 from marjoramstep_state.edit_commands import ReplaceTable
+from marjoramstep_state.limits import COMMAND_LIMIT_BYTES
 from marjoramstep_state.results import EditResult
 from marjoramstep_state.results import EditVerdict
 
@@ -17,11 +18,13 @@
 
 
 if TYPE_CHECKING:
+    from aiohttp.typedefs import Handler
     from marjoramstep_daemon.control.replica import Replica
     from marjoramstep_daemon.log import EventLog
     from marjoramstep_state.command import Command
 
-BODY_LIMIT_BYTES = 1024 * 1024
+# About 16,000 routes.
+BODY_LIMIT_BYTES = COMMAND_LIMIT_BYTES
 # Requests of the platform do not identify the operator.
 OPERATOR = OperatorName("operator")
 _STATUS = {
@@ -44,7 +47,9 @@
 
     def make_app(self) -> web.Application:
         """Build the application that a replica serves on ``adapter_address``."""
-        app = web.Application(client_max_size=BODY_LIMIT_BYTES)
+        app = web.Application(
+            middlewares=[self._refuse_too_large], client_max_size=BODY_LIMIT_BYTES
+        )
         app.router.add_put("/-/config", self._put)
         app.router.add_get("/-/config", self._get)
         return app
@@ -53,14 +58,14 @@
         try:
             configuration = Configuration.decode(await request.read())
         except InvalidInputError as error:
-            self._log.write(
-                "configuration refused", step=error.step, error=error.message
-            )
-            return web.json_response({"error": error.message}, status=400)
+            return self._refuse(400, error.step, error.message)
         try:
             result = await self._submit(configuration, request.remote or "unknown")
         except (NotLeaderError, UnavailableError) as error:
             return self._redirect_or_report_unavailable(request, error)
+        except InvalidInputError as error:
+            # Its content does not compress enough to fit into a log entry.
+            return self._refuse(413, error.step, error.message)
         self._log.write(
             "configuration decided",
             step="replace table",
@@ -71,6 +76,20 @@
         body = {"verdict": result.verdict.value}
         return web.json_response(body, status=_STATUS[result.verdict])
 
+    @web.middleware
+    async def _refuse_too_large(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        try:
+            return await handler(request)
+        except web.HTTPRequestEntityTooLarge:
+            text = f"a configuration has at most {BODY_LIMIT_BYTES} bytes"
+            return self._refuse(413, "read configuration", text)
+
+    def _refuse(self, status: int, step: str, text: str) -> web.Response:
+        self._log.write("configuration refused", step=step, error=text)
+        return web.json_response({"error": text}, status=status)
+
     async def _submit(self, configuration: Configuration, origin: str) -> EditResult:
         def make_command(log_time_ms: int) -> Command:
             return ReplaceTable(
--- a/packages/state/src/marjoramstep_state/edit_commands.py
+++ b/packages/state/src/marjoramstep_state/edit_commands.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 from typing import Any
 from typing import ClassVar
 
@@ -11,17 +10,17 @@
 from marjoramstep_core.ids import EditKey
 from marjoramstep_core.ids import OperatorName
 from marjoramstep_core.ids import TableVersion
+from marjoramstep_core.packing import pack
+from marjoramstep_core.packing import unpack
 from marjoramstep_core.table import EditOperation
 
 from .command import COMMANDS
 from .errors import InvalidCommandError
+from .fields import Fields
+from .fields import encode_base64
 from .limits import COMMAND_LIMIT_BYTES
 
 
-if TYPE_CHECKING:
-    from .fields import Fields
-
-
 @COMMANDS.register("edit-table")
 @dataclass(frozen=True)
 class EditTable:
@@ -92,11 +91,14 @@
 
     def to_json(self) -> dict[str, Any]:
         """Encode the fields as JSON values."""
-        return {**vars(self), "rows": list(self.rows)}
+        fields = {k: v for k, v in vars(self).items() if k not in ("rows", "source")}
+        content = {"rows": list(self.rows), "source": self.source}
+        return {**fields, "packed": encode_base64(pack(content))}
 
     @classmethod
     def from_json(cls, fields: Fields) -> ReplaceTable:
         """Decode the command; raises :class:`InvalidCommandError`."""
+        content = _read_content(fields)
         return cls(
             fields.time_ms("log_time_ms"),
             EditKey(fields.edit_key("edit_key")),
@@ -104,11 +106,24 @@
             fields.integer("base_revision"),
             OperatorName(fields.non_empty_text("operator")),
             fields.text("origin"),
-            tuple(map(_read_cells, fields.list_field("rows"))),
-            fields.text("source", limit=COMMAND_LIMIT_BYTES),
+            tuple(map(_read_cells, content.list_field("rows"))),
+            content.text("source", limit=COMMAND_LIMIT_BYTES),
         )
 
 
+def _read_content(fields: Fields) -> Fields:
+    """Return the fields of a replacement that are packed.
+
+    Entries of earlier releases hold them as they are.
+    """
+    if fields.value("packed") is None:
+        return fields
+    try:
+        return Fields(unpack(fields.base64_bytes("packed")))
+    except InvalidInputError as error:
+        raise InvalidCommandError(error.message) from error
+
+
 def _read_cells(document: Any) -> dict[str, object]:
     if not isinstance(document, dict):
         raise InvalidCommandError("rows: expected an object for each row")
--- a/packages/state/src/marjoramstep_state/machine.py
+++ b/packages/state/src/marjoramstep_state/machine.py
@@ -51,6 +51,10 @@
 
 SNAPSHOT_FORMAT = 1
 
+# An audit entry with the cells of more rows would take tens of megabytes. It names the
+# rows and has the digest of the new content as its edit key.
+AUDITED_ROWS_LIMIT = 2_500
+
 
 class StateMachine:
     """Table, claims, quarantine and audit trail.
@@ -236,9 +240,7 @@
         before: dict[str, Any] = {"version": before_table.version}
         after: dict[str, Any] = {"version": result.version}
         if result.verdict is EditVerdict.ACCEPTED:
-            changes = diff_tables(before_table, self._edits.table)
-            before["cells"] = [[c.row, c.column, c.before] for c in changes]
-            after["cells"] = [[c.row, c.column, c.after] for c in changes]
+            _add_changes(before, after, before_table, self._edits.table)
         else:
             after |= refused
             after["faults"] = result.to_json()["faults"]
@@ -345,3 +347,18 @@
         self._invalid_count = invalid_count
         self._edits, self._claims = edits, claims
         self._quarantine, self._audit = quarantine, audit
+
+
+def _add_changes(
+    before: dict[str, Any], after: dict[str, Any], old: Table, new: Table
+) -> None:
+    """Add the changed cells to an audit entry, or the changed rows if they are many."""
+    names = old.rows.keys() | new.rows.keys()
+    changed = sorted(name for name in names if old.rows.get(name) != new.rows.get(name))
+    if len(changed) > AUDITED_ROWS_LIMIT:
+        before["rows"] = [name for name in changed if name in old.rows]
+        after["rows"] = [name for name in changed if name in new.rows]
+        return
+    changes = diff_tables(old, new)
+    before["cells"] = [[c.row, c.column, c.before] for c in changes]
+    after["cells"] = [[c.row, c.column, c.after] for c in changes]
