--- a/packages/core/src/marjoramstep_core/table/columns.py
+++ b/packages/core/src/marjoramstep_core/table/columns.py
@@ -15,7 +15,8 @@
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}")
 METHODS = ("*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 HOST_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9.-]{0,252}")
-TARGET_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}:[0-9]{1,9}")
+_TARGET = r"[A-Za-z0-9][A-Za-z0-9_.-]{0,63}:[0-9]{1,9}"
+TARGETS_PATTERN = re.compile(rf"{_TARGET}(?:,{_TARGET})*")
 NO_TARGETS = "none"
 PATH_LIMIT_CHARACTERS = 512
 HOUR_MS = 3_600_000
@@ -119,12 +120,11 @@
 def _parse_targets(value: object) -> CellValue:
     if value == NO_TARGETS:
         return NO_TARGETS
-    parts = value.split(",") if isinstance(value, str) else []
-    if not parts or not all(TARGET_PATTERN.fullmatch(part) for part in parts):
+    if not isinstance(value, str) or not TARGETS_PATTERN.fullmatch(value):
         raise CellError("expected none or shares such as archive:90,panels:10")
-    if not any(int(part.rpartition(":")[2]) for part in parts):
+    if not any(int(part.rpartition(":")[2]) for part in value.split(",")):
         raise CellError("expected at least one share above 0")
-    return str(value)
+    return value
 
 
 def _parse_path_prefix(value: object) -> CellValue:
@@ -132,7 +132,8 @@
         not isinstance(value, str)
         or not value.startswith("/")
         or len(value) > PATH_LIMIT_CHARACTERS
-        or any(c.isspace() or not c.isprintable() for c in value)
+        or not value.isprintable()
+        or any(c.isspace() for c in value)
     ):
         raise CellError(
             "expected a path that starts with '/', without white space, of at most "
--- a/packages/core/src/marjoramstep_core/table/row.py
+++ b/packages/core/src/marjoramstep_core/table/row.py
@@ -19,6 +19,8 @@
 if TYPE_CHECKING:
     from ..ids import RowName
 
+# Looked up here, since a table has thousands of rows.
+_PARSERS = {column_name: COLUMNS.get(column_name).parse for column_name in COLUMNS}
 DEFAULT_CELLS: dict[str, CellValue] = {
     column_name: COLUMNS.get(column_name).default for column_name in COLUMNS
 }
@@ -130,15 +132,15 @@
         faults = [
             CellFault(row_name, key, str(cells[key]), "no such column")
             for key in cells
-            if key not in COLUMNS
+            if key not in _PARSERS
         ]
         values: dict[str, CellValue] = dict(DEFAULT_CELLS)
-        for column_name in DEFAULT_CELLS:
+        for column_name, parse in _PARSERS.items():
             if column_name not in cells and column_name != "name":
                 continue
             raw = cells.get(column_name, "")
             try:
-                values[column_name] = COLUMNS.get(column_name).parse(raw)
+                values[column_name] = parse(raw)
             except CellError as error:
                 faults.append(CellFault(row_name, column_name, str(raw), str(error)))
         if faults:
--- a/packages/platform/src/marjoramstep_platform/configuration_api.py
+++ b/packages/platform/src/marjoramstep_platform/configuration_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from aiohttp import web
@@ -25,6 +26,8 @@
 
 # About 16,000 routes.
 BODY_LIMIT_BYTES = COMMAND_LIMIT_BYTES
+# Decoded within a few milliseconds.
+SHORT_BODY_BYTES = 65_536
 # Requests of the platform do not identify the operator.
 OPERATOR = OperatorName("operator")
 _STATUS = {
@@ -56,7 +59,7 @@
 
     async def _put(self, request: web.Request) -> web.Response:
         try:
-            configuration = Configuration.decode(await request.read())
+            configuration = await _decode(await request.read())
         except InvalidInputError as error:
             return self._refuse(400, error.step, error.message)
         try:
@@ -134,3 +137,13 @@
         host = leader.rpartition(":")[0]
         location = f"http://{host}:{port}{request.path}"
         return web.Response(status=307, headers={"Location": location})
+
+
+async def _decode(data: bytes) -> Configuration:
+    """Decode a configuration; a long one in a thread.
+
+    The replica would not answer its peers meanwhile and lose its leadership.
+    """
+    if len(data) <= SHORT_BODY_BYTES:
+        return Configuration.decode(data)
+    return await asyncio.to_thread(Configuration.decode, data)
