--- a/features/daemon/entry.feature
+++ b/features/daemon/entry.feature
@@ -22,6 +22,17 @@
     When a second attempt with the same key begins while the first runs
     Then the key may have run for the second attempt
 
+  # Guards against a node that stops watching its backend server: the check for overdue
+  # requests failed on one whose body had not arrived before the first table.
+  Scenario Outline: A node without a table finds no row of a request that names <what>
+    When a node without a table looks for the row of a request that names <what>
+    Then it finds none
+
+    Examples:
+      | what      |
+      | a host    |
+      | a service |
+
   Scenario: A refused upload can be restarted
     When an upload is read for 256 KiB, cancelled in the middle of a wait and restarted
     Then the second reader gets the complete upload
--- a/features/steps/daemon_entry_steps.py
+++ b/features/steps/daemon_entry_steps.py
@@ -28,6 +28,7 @@
 from marjoramstep_daemon.callers.membership_subscriber import MembershipSubscriber
 from marjoramstep_daemon.calls import Answer
 from marjoramstep_daemon.calls import Body
+from marjoramstep_daemon.control.table_store import TableStore
 from marjoramstep_daemon.log import EventLog
 from marjoramstep_daemon.metrics import NodeMetrics
 from marjoramstep_daemon.upload import Upload
@@ -282,10 +283,14 @@
         """Leave the result unchanged."""
 
 
-def _make_entry(in_flight: InFlightMap, dispatcher: FakeDispatcher) -> EntryService:
+def _make_entry(
+    in_flight: InFlightMap,
+    dispatcher: FakeDispatcher,
+    tables: TableStore | None = None,
+) -> EntryService:
     return EntryService(
         CLOCK,
-        make_tables(),
+        tables or make_tables(),
         in_flight,
         ResendTracker(CLOCK),
         BackpressureTracker(BACKPRESSURE_VARIANTS.get("reported")(CLOCK)),
@@ -375,3 +380,19 @@
     allowed_ms = context.sub_call.deadline_ms - context.began_ms
     # The call starts when the entry service reads its clock, slightly later.
     assert 100.0 <= allowed_ms < ROOT_BUDGET_MS / 2, allowed_ms
+
+
+@when("a node without a table looks for the row of a request that names {what}")
+def step_without_table(context: Any, what: str) -> None:
+    tables = TableStore(CLOCK, EventLog(CLOCK, "test"))
+    entry = _make_entry(InFlightMap(RetryAllowance), FakeDispatcher(), tables)
+    host = "h" if what == "a host" else ""
+    request = EntryRequest(
+        ServiceName("s"), "GET", "/", [], Body(), None, None, None, host
+    )
+    context.row = entry.find_row(request)
+
+
+@then("it finds none")
+def step_no_row(context: Any) -> None:
+    assert context.row is None
--- a/packages/daemon/src/marjoramstep_daemon/callers/entry.py
+++ b/packages/daemon/src/marjoramstep_daemon/callers/entry.py
@@ -162,8 +162,10 @@
         """Find the row of a request in the table in force.
 
         :param request: the request
-        :return: its row, or None
+        :return: its row, or None if there is none or no table yet
         """
+        if not self._tables.has_table:
+            return None
         if request.host:
             return self._tables.match_host(request.host, request.path)
         return self._tables.match(request.service, request.method, request.path)
