--- a/features/steps/daemon_caller_connection_steps.py
+++ b/features/steps/daemon_caller_connection_steps.py
@@ -6,108 +6,26 @@
 import contextlib
 import socket
 import struct
-from typing import TYPE_CHECKING
 from typing import Any
 
 from behave import given
 from behave import then
 from behave import when
-from daemon_harness import CLOCK
-from daemon_harness import make_tables
-from daemon_harness import run
 from daemon_harness import wait_until
-from marjoramstep_core.states import Outcome
-from marjoramstep_daemon.callers.entry_result import EntryResult
-from marjoramstep_daemon.callers.listener import CallerListener
-from marjoramstep_daemon.calls import UNKNOWN_LENGTH
-from marjoramstep_daemon.calls import Answer
-from marjoramstep_daemon.calls import Body
-from marjoramstep_daemon.log import EventLog
+from support.blocking_entry import encode_get
+from support.blocking_entry import encode_post
+from support.blocking_entry import read_answer
+from support.blocking_entry import with_caller
 
 
-if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
-
-    from marjoramstep_daemon.calls import HeaderList
-
 LONG_BODY_BYTES = 200_000
 
 
 HEADER_TIMEOUT_SECONDS = 30.0
 UPLOAD_BYTES = 4_000_000
-ANSWER_LIMIT_SECONDS = 5.0
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
-class BlockingEntry:
-    """Runs each request until the test releases it."""
-
-    def __init__(self) -> None:
-        self.releases: dict[str, asyncio.Event] = {}
-        self.cancelled: list[str] = []
-        self.headers: dict[str, HeaderList] = {}
-        self.streamed_paths: set[str] = set()
-        self.abandoned: list[str] = []
-        self.reads_bodies = False
-        self.body_sizes: dict[str, int] = {}
-
-    async def execute(self, request: Any) -> EntryResult:
-        """Wait until the request is released and answer with its path."""
-        release = self.releases.setdefault(request.path, asyncio.Event())
-        try:
-            if self.reads_bodies:
-                size = sum([len(part) async for part in request.body.parts()])
-                self.body_sizes[request.path] = size
-            await release.wait()
-        except asyncio.CancelledError:
-            self.cancelled.append(request.path)
-            raise
-        data = request.path.encode()
-        if request.path in self.streamed_paths:
-            body = Body(
-                data,
-                rest=_silence(),
-                length=UNKNOWN_LENGTH,
-                on_abandon=lambda: self.abandoned.append(request.path),
-            )
-            return EntryResult(Answer(200, [], body), Outcome.DONE, "k", "r")
-        headers = self.headers.get(request.path, [])
-        answer = Answer(200, headers, Body(data, length=len(data)))
-        return EntryResult(answer, Outcome.DONE, "k", "r")
-
-
-async def _silence() -> AsyncIterator[bytes]:
-    await asyncio.Event().wait()
-    yield b""
-
-
-def _get(path: str) -> bytes:
-    return f"GET {path} HTTP/1.1\r\nHost: s\r\n\r\n".encode()
-
-
-async def _read_answer(reader: Any) -> tuple[bytes, bytes]:
-    head = await reader.readuntil(b"\r\n\r\n")
-    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
-    return head, await reader.readexactly(length)
-
-
-def _with_caller(context: Any, scenario: Any) -> None:
-    """Run a scenario with a listener and a connected caller."""
-
-    async def run_scenario() -> None:
-        context.entry = BlockingEntry()
-        log = EventLog(CLOCK, "test")
-        listener = CallerListener(context.entry, make_tables(), log)
-        address = await listener.start(("127.0.0.1", 0))
-        reader, writer = await asyncio.open_connection(*address)
-        await scenario(listener, reader, writer)
-        writer.close()
-        await listener.stop_listening()
-        await listener.close()
-
-    run(run_scenario())
-
-
 @given("a caller listener whose requests run until the test releases them")
 def step_listener(context: Any) -> None:
     context.entry = None
@@ -117,15 +35,15 @@
 def step_pipeline(context: Any) -> None:
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
         entry = context.entry
-        writer.write(_get("/1") + _get("/2"))
+        writer.write(encode_get("/1") + encode_get("/2"))
         await wait_until(lambda: len(entry.releases) == 2)
         context.running = sorted(entry.releases)
         entry.releases["/2"].set()
         await asyncio.sleep(0.02)
         entry.releases["/1"].set()
-        context.bodies = [(await _read_answer(reader))[1] for _ in range(2)]
+        context.bodies = [(await read_answer(reader))[1] for _ in range(2)]
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("both requests were running before the first answer")
@@ -141,12 +59,12 @@
 @when('a caller sends requests "/1" and "/2" at once and closes the connection')
 def step_close(context: Any) -> None:
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
-        writer.write(_get("/1") + _get("/2"))
+        writer.write(encode_get("/1") + encode_get("/2"))
         await wait_until(lambda: len(context.entry.releases) == 2)
         writer.close()
         await wait_until(lambda: len(context.entry.cancelled) == 2)
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("both requests are cancelled")
@@ -154,26 +72,6 @@
     assert sorted(context.entry.cancelled) == ["/1", "/2"]
 
 
-@when("a caller sends two Content-Length headers and another request in the body")
-def step_smuggled(context: Any) -> None:
-    async def scenario(_: Any, reader: Any, writer: Any) -> None:
-        smuggled = _get("/hidden")
-        head = (
-            "POST /1 HTTP/1.1\r\nHost: s\r\nContent-Length: 0\r\n"
-            f"Content-Length: {len(smuggled)}\r\n\r\n"
-        )
-        writer.write(head.encode() + smuggled)
-        context.head, _ = await _read_answer(reader)
-
-    _with_caller(context, scenario)
-
-
-@then("the caller gets status {status:d} and no request was run")
-def step_not_run(context: Any, status: int) -> None:
-    assert f" {status} ".encode() in context.head.splitlines()[0], context.head
-    assert not context.entry.releases, context.entry.releases
-
-
 @when("a request with a long body is answered before the body is complete")
 def step_early_answer(context: Any) -> None:
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
@@ -181,23 +79,23 @@
         writer.write(head.encode() + b"\r\n" + bytes(LONG_BODY_BYTES // 2))
         await wait_until(lambda: "/1" in context.entry.releases)
         context.entry.releases["/1"].set()
-        context.head, _ = await _read_answer(reader)
+        context.head, _ = await read_answer(reader)
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @when('requests "/1" and "/2" are sent at once, "/2" ends and the listener ends "/1"')
 def step_end_unanswered(context: Any) -> None:
     async def scenario(listener: Any, reader: Any, writer: Any) -> None:
         entry = context.entry
-        writer.write(_get("/1") + _get("/2"))
+        writer.write(encode_get("/1") + encode_get("/2"))
         await wait_until(lambda: len(entry.releases) == 2)
         entry.releases["/2"].set()
         await asyncio.sleep(0.02)
         listener.end_unanswered()
-        context.answers = [await _read_answer(reader) for _ in range(2)]
+        context.answers = [await read_answer(reader) for _ in range(2)]
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then('the caller gets an unknown outcome of "/1" and then the answer of "/2"')
@@ -212,13 +110,13 @@
 @when('the listener announces its close while "/1" runs')
 def step_announce_close(context: Any) -> None:
     async def scenario(listener: Any, reader: Any, writer: Any) -> None:
-        writer.write(_get("/1"))
+        writer.write(encode_get("/1"))
         await wait_until(lambda: "/1" in context.entry.releases)
         listener.announce_close()
         context.entry.releases["/1"].set()
-        context.head, _ = await _read_answer(reader)
+        context.head, _ = await read_answer(reader)
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("the answer announces that the connection closes")
@@ -232,7 +130,7 @@
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
         entry = context.entry
         entry.headers["/1"] = [("X", "\x01")]
-        writer.write(_get("/1") + _get("/2"))
+        writer.write(encode_get("/1") + encode_get("/2"))
         await wait_until(lambda: len(entry.releases) == 2)
         entry.releases["/2"].set()
         entry.releases["/1"].set()
@@ -242,7 +140,7 @@
         except ConnectionResetError:
             context.received = b""
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then('the connection ends without the answer of "/2"')
@@ -250,22 +148,6 @@
     assert context.received == b"", context.received
 
 
-@when("a caller sends a header with a control character")
-def step_control_character(context: Any) -> None:
-    async def scenario(_: Any, reader: Any, writer: Any) -> None:
-        writer.write(b"GET /1 HTTP/1.1\r\nHost: s\r\nX: a\x01b\r\n\r\n")
-        context.head, _ = await _read_answer(reader)
-
-    _with_caller(context, scenario)
-
-
-def _post(path: str, size: int) -> bytes:
-    return (
-        f"POST {path} HTTP/1.1\r\nHost: s\r\nConnection: close\r\n"
-        f"Content-Length: {size}\r\n\r\n"
-    ).encode()
-
-
 @when(
     "a caller sends a request with Connection: close whose body of {size:d} bytes "
     "follows in {parts:d} parts"
@@ -273,16 +155,16 @@
 def step_last_request(context: Any, size: int, parts: int) -> None:
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
         context.entry.reads_bodies = True
-        writer.write(_post("/1", size))
+        writer.write(encode_post("/1", size))
         for _part in range(parts):
             await asyncio.sleep(0.02)
             writer.write(bytes(size // parts))
             await writer.drain()
         await wait_until(lambda: "/1" in context.entry.body_sizes)
         context.entry.releases["/1"].set()
-        context.head, _body = await _read_answer(reader)
+        context.head, _body = await read_answer(reader)
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("the request is run with a body of {size:d} bytes and is answered")
@@ -295,15 +177,15 @@
 def step_behind_last_request(context: Any) -> None:
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
         context.entry.reads_bodies = True
-        writer.write(_post("/1", 4))
+        writer.write(encode_post("/1", 4))
         await asyncio.sleep(0.02)
-        writer.write(b"body" + _get("/2"))
+        writer.write(b"body" + encode_get("/2"))
         await wait_until(lambda: "/1" in context.entry.body_sizes)
         context.entry.releases["/1"].set()
-        context.head, _body = await _read_answer(reader)
+        context.head, _body = await read_answer(reader)
         context.rest = await reader.read()
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("only the first of them is run and answered")
@@ -313,66 +195,13 @@
     assert context.rest == b"", context.rest
 
 
-REQUESTS = {
-    "a request": _get("/1"),
-    "a request with a body": _post("/1", 4).replace(b"Connection: close\r\n", b"")
-    + b"body",
-    "a last request": _get("/1").replace(b"Host", b"Connection: close\r\nHost"),
-    "a last request with a body": _post("/1", 4) + b"body",
-    "a last request with chunks": _post("/1", 4).replace(
-        b"Content-Length: 4", b"Transfer-Encoding: chunked"
-    )
-    + b"4\r\nbody\r\n0\r\n\r\n",
-}
-
-
-@when("a caller sends {request} and malformed bytes in one read")
-def step_malformed_behind(context: Any, request: str) -> None:
-    async def scenario(_: Any, reader: Any, writer: Any) -> None:
-        context.entry.releases["/1"] = asyncio.Event()
-        context.entry.releases["/1"].set()
-        writer.write(REQUESTS[request] + b"not a request\r\n\r\n")
-        async with asyncio.timeout(ANSWER_LIMIT_SECONDS):
-            context.received = await reader.read()
-
-    _with_caller(context, scenario)
-
-
-@then("the request is answered first, and then {following}")
-def step_answered_first(context: Any, following: str) -> None:
-    head, _, rest = context.received.partition(b"\r\n\r\n/1")
-    assert head.startswith(b"HTTP/1.1 200 "), context.received
-    if following == "the connection ends":
-        assert rest == b"", context.received
-    else:
-        assert rest.startswith(b"HTTP/1.1 400 "), context.received
-
-
-@when("a caller sends a malformed chunk {place} the head of a {kind} request")
-def step_malformed_chunk(context: Any, place: str, kind: str) -> None:
-    head = _post("/1", 4).replace(b"Content-Length: 4", b"Transfer-Encoding: chunked")
-    if kind == "kept":
-        head = head.replace(b"Connection: close\r\n", b"")
-
-    async def scenario(_: Any, reader: Any, writer: Any) -> None:
-        context.entry.reads_bodies = True
-        writer.write(head)
-        if place == "after":
-            await asyncio.sleep(0.02)
-        writer.write(b"zz\r\nbody\r\n")
-        async with asyncio.timeout(ANSWER_LIMIT_SECONDS):
-            context.head, _body = await _read_answer(reader)
-
-    _with_caller(context, scenario)
-
-
 @when(
     "a body ends in another read than its head and more than the header timeout passes"
 )
 def step_split_body(context: Any) -> None:
     async def scenario(listener: Any, reader: Any, writer: Any) -> None:
         context.entry.reads_bodies = True
-        writer.write(_post("/1", 4).replace(b"Connection: close\r\n", b""))
+        writer.write(encode_post("/1", 4).replace(b"Connection: close\r\n", b""))
         await asyncio.sleep(0.02)
         writer.write(b"body")
         await wait_until(lambda: "/1" in context.entry.body_sizes)
@@ -380,12 +209,12 @@
         later = asyncio.get_running_loop().time() + 2 * HEADER_TIMEOUT_SECONDS
         connection.check_timeouts(later)
         context.entry.releases["/1"].set()
-        writer.write(_get("/2"))
+        writer.write(encode_get("/2"))
         await wait_until(lambda: "/2" in context.entry.releases)
         context.entry.releases["/2"].set()
-        context.bodies = [(await _read_answer(reader))[1] for _ in range(2)]
+        context.bodies = [(await read_answer(reader))[1] for _ in range(2)]
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("the request is answered and its connection takes another one")
@@ -398,7 +227,7 @@
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
         entry = context.entry
         entry.streamed_paths = {"/2"}
-        writer.write(_get("/1") + _get("/2"))
+        writer.write(encode_get("/1") + encode_get("/2"))
         await wait_until(lambda: len(entry.releases) == 2)
         entry.releases["/2"].set()
         await asyncio.sleep(0.02)
@@ -406,7 +235,7 @@
         await wait_until(lambda: entry.cancelled == ["/1"], "the end of the caller")
         await asyncio.sleep(0.02)
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then('the rest of the answer of "/2" is abandoned')
@@ -417,7 +246,7 @@
 @when("a caller sends more of an upload than the node holds and resets its connection")
 def step_reset_upload(context: Any) -> None:
     async def scenario(_: Any, reader: Any, writer: Any) -> None:
-        writer.write(_post("/1", UPLOAD_BYTES) + bytes(UPLOAD_BYTES // 2))
+        writer.write(encode_post("/1", UPLOAD_BYTES) + bytes(UPLOAD_BYTES // 2))
         await wait_until(lambda: "/1" in context.entry.releases)
         await asyncio.sleep(0.1)
         raw = writer.get_extra_info("socket")
@@ -428,7 +257,7 @@
         # The end of the listener cancels it as well.
         context.noticed = list(context.entry.cancelled)
 
-    _with_caller(context, scenario)
+    with_caller(context, scenario)
 
 
 @then("the request of the upload is cancelled")
