End an answer that never ends after its deadline

A backend server that sends an answer without end, fast or a byte at a time, kept its slot, both nodes and its caller busy until the caller left: after the deadline each part had 200 ms again. The waits after the deadline add up now, and at most 16 MiB are passed on then, which is what can have been under way; the time that a slow reader takes does not count.

--- a/features/steps/daemon_streamed_answers_steps.py
+++ b/features/steps/daemon_streamed_answers_steps.py
@@ -72,6 +72,32 @@
     context.links = StreamingLinks(is_silent=True)
 
 
+class EndlessLinks(StreamingLinks):
+    """Peers whose answers never end.
+
+    :param pause_seconds: pause before each part
+    :param part: what they send again and again
+    """
+
+    def __init__(self, pause_seconds: float, part: bytes) -> None:
+        super().__init__(is_silent=False)
+        self._pause_seconds = pause_seconds
+        self._part = part
+
+    async def _rest(self) -> AsyncIterator[bytes]:
+        while True:
+            await asyncio.sleep(self._pause_seconds)
+            yield self._part
+
+
+@given("a service whose answers never end and arrive {how}")
+def step_endless(context: Any, how: str) -> None:
+    if how == "a byte at a time":
+        context.links = EndlessLinks(0.02, b"x")
+    else:
+        context.links = EndlessLinks(0.0, bytes(65_536))
+
+
 @given("a service whose answers have arrived in full")
 def step_arrived(context: Any) -> None:
     context.links = StreamingLinks(is_silent=False)
@@ -102,15 +128,39 @@
 
 @when("its backend server falls silent midway through a long answer")
 def step_silent_server(context: Any) -> None:
+    async def answer(reader: Any, writer: Any) -> None:
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + bytes(200_000)
+        )
+        await reader.read()
+
+    _read_answer_of_server(context, answer)
+
+
+@when("its backend server sends a long answer without end")
+def step_endless_server(context: Any) -> None:
+    async def answer(_: Any, writer: Any) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+            writer.write(bytes(65_536))
+            await writer.drain()
+            # Without data to wait for, the sender would get all turns of the loop.
+            await asyncio.sleep(0.001)
+
+    # The session that passes an answer on abandons it when it breaks off.
+    _read_answer_of_server(context, answer, abandons=True)
+
+
+def _read_answer_of_server(
+    context: Any, answer: Any, *, abandons: bool = False
+) -> None:
+    """Read the answer of a backend server until the node ends it."""
     context.closed = False
 
     async def handle(reader: Any, writer: Any) -> None:
         await reader.readuntil(b"\r\n\r\n")
-        writer.write(
-            b"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n" + bytes(200_000)
-        )
-        with contextlib.suppress(ConnectionResetError):
-            await reader.read()
+        with contextlib.suppress(ConnectionError):
+            await answer(reader, writer)
         context.closed = True
         writer.close()
 
@@ -127,6 +177,8 @@
         context.deadline_ms = call.deadline_ms
         reply = await node.call_executor.execute(call)
         await _read(context, reply)
+        if abandons:
+            reply.body.abandon()
         await wait_until(lambda: context.closed, "the end of the connection")
         context.in_flight = node.gate.load().in_flight
         await node.local_server.close()
--- a/packages/daemon/src/marjoramstep_daemon/deadline.py
+++ b/packages/daemon/src/marjoramstep_daemon/deadline.py
@@ -15,9 +15,12 @@
 
     from marjoramstep_core.clock import Clock
 
-# How long a part of a body may arrive after the deadline. The sender stops at the
-# deadline, and what it has sent is under way then.
-LATE_PART_MS = 200.0
+# How long parts of a body are waited for after the deadline, all together. The sender
+# stops at the deadline, and what it has sent is under way then.
+LATE_WAIT_MS = 200.0
+# What may be under way then: the largest receive buffers of the kernel on both hops
+# and those of the nodes.
+LATE_BYTES_LIMIT = 16 * 1024 * 1024
 SECOND_MS = 1_000.0
 
 
@@ -81,27 +84,34 @@
 async def end_at_deadline(
     parts: AsyncIterable[bytes], deadline_ms: float, clock: Clock
 ) -> AsyncIterator[bytes]:
-    """Pass on the parts of a body until its source falls silent after the deadline.
+    """Pass on the parts of a body that have been sent before the deadline.
 
-    A slow reader still gets what has arrived.
+    A slow reader still gets what has arrived: only the wait for the source counts.
 
     :param parts: the parts; cancelled when the wait for the next one ends
     :param deadline_ms: deadline in milliseconds of the clock
     :param clock: clock of the node
-    :raises DeadlineExceededError: if the next part did not arrive in time
+    :raises DeadlineExceededError: if the rest did not arrive in time
     """
     loop = asyncio.get_running_loop()
     source = aiter(parts)
-    while True:
-        left_ms = max(deadline_ms - clock.now_ms(), 0.0) + LATE_PART_MS
+    late_wait_ms, late_bytes = LATE_WAIT_MS, 0
+    while late_bytes <= LATE_BYTES_LIMIT:
+        started_ms = clock.now_ms()
+        left_ms = max(deadline_ms - started_ms, 0.0) + late_wait_ms
         try:
             async with Deadline(loop, left_ms / SECOND_MS):
                 part = await anext(source)
         except StopAsyncIteration:
             return
-        except TimeoutError as error:
-            raise DeadlineExceededError(
-                "the rest of the body did not arrive before the deadline",
-                step="receive body",
-            ) from error
+        except TimeoutError:
+            break
+        now_ms = clock.now_ms()
+        if now_ms > deadline_ms:
+            late_wait_ms -= now_ms - max(started_ms, deadline_ms)
+            late_bytes += len(part)
         yield part
+    raise DeadlineExceededError(
+        "the rest of the body did not arrive before the deadline",
+        step="receive body",
+    )
